--- /dev/null
+++ b/cmd/pollenstep/main.go
@@ -0,0 +1,14 @@
+// Command pollenstep runs the processes of the load balancer and its operators'
+// verbs.
+package main
+
+import (
+	"context"
+	"os"
+
+	"pollenstep.example/pollenstep/pollencommand"
+)
+
+func main() {
+	os.Exit(pollencommand.Main(context.Background(), os.Args, os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/pollenagent/keep.go
@@ -0,0 +1,195 @@
+package pollenagent
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"pollenstep.example/pollenstep/pollendocument"
+	"pollenstep.example/pollenstep/pollenflow"
+	"pollenstep.example/pollenstep/pollenview"
+)
+
+// keeperCount is the number of peers that keep an agent's records.
+const keeperCount = 2
+
+// A KeptRecord is what survives the restart of an agent: which flow came from
+// which local port.
+type KeptRecord struct {
+	Key  pollenflow.Key
+	Port uint16
+	Seen time.Time
+}
+
+// A Kept is an agent's records as given to a peer.
+type Kept struct {
+	Name        pollendocument.ServerName
+	Incarnation pollenview.Incarnation
+	// Service guards against records of another service under the same name.
+	Service pollendocument.ServiceName
+	// Full is set when Records are all there are; else they are added, and
+	// Removed taken away.
+	Full    bool
+	Records []KeptRecord
+	Removed []pollenflow.Key
+}
+
+// A keeper remembers what the keepers of this agent's records lack.
+type keeper struct {
+	// peers holds the incarnations that were given everything.
+	peers []pollenview.ReplicaRef
+	dirty map[pollenflow.Key]struct{}
+}
+
+func (k *keeper) changed(key pollenflow.Key) {
+	if k.dirty == nil {
+		k.dirty = map[pollenflow.Key]struct{}{}
+	}
+	k.dirty[key] = struct{}{}
+}
+
+// keep gives the changes since the last call to the keepers, and everything to
+// a keeper that is new.
+func (f *Flows) keep() []Action {
+	if f.delivery != pollendocument.DeliveryRelay {
+		f.keeping.dirty = nil
+		return nil
+	}
+	var actions []Action
+	var peers []pollenview.ReplicaRef
+	for _, m := range f.keepers() {
+		peer := pollenview.ReplicaRef{Name: m.Name, Incarnation: m.Incarnation}
+		peers = append(peers, peer)
+		if !slices.Contains(f.keeping.peers, peer) {
+			actions = append(actions, Keep{To: m.Address, Kept: f.Export()})
+			continue
+		}
+		if delta := f.keepDelta(); len(delta.Records)+len(delta.Removed) > 0 {
+			actions = append(actions, Keep{To: m.Address, Kept: delta})
+		}
+	}
+	f.keeping.peers = peers
+	f.keeping.dirty = nil
+	return actions
+}
+
+func (f *Flows) newKept() Kept {
+	return Kept{
+		Name: f.config.Self.Name, Incarnation: f.config.Self.Incarnation, Service: f.config.Self.Service,
+	}
+}
+
+func (f *Flows) keepDelta() Kept {
+	kept := f.newKept()
+	for key := range f.keeping.dirty {
+		if r, ok := f.records[key]; ok {
+			kept.Records = append(kept.Records, KeptRecord{Key: key, Port: r.Port, Seen: r.Seen})
+		} else {
+			kept.Removed = append(kept.Removed, key)
+		}
+	}
+	slices.SortFunc(kept.Records, func(a, b KeptRecord) int { return a.Key.Compare(b.Key) })
+	slices.SortFunc(kept.Removed, netip.AddrPort.Compare)
+	return kept
+}
+
+// Export returns all records for safe keeping.
+func (f *Flows) Export() Kept {
+	kept := f.newKept()
+	kept.Full = true
+	for _, r := range f.sorted() {
+		kept.Records = append(kept.Records, KeptRecord{Key: r.Key, Port: r.Port, Seen: r.Seen})
+	}
+	return kept
+}
+
+// Keepers returns the addresses of the peers that keep this agent's records.
+func (f *Flows) Keepers() []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, m := range f.keepers() {
+		addresses = append(addresses, m.Address)
+	}
+	return addresses
+}
+
+func (f *Flows) keepers() []pollenview.Member {
+	peers := slices.DeleteFunc(slices.Clone(f.agents), func(m pollenview.Member) bool {
+		return m.Name == f.config.Self.Name
+	})
+	score := func(m pollenview.Member) uint64 {
+		return pollenflow.DigestOf(string(f.config.Self.Name) + "/" + string(m.Name))
+	}
+	slices.SortFunc(peers, func(a, b pollenview.Member) int { return cmp.Compare(score(b), score(a)) })
+	return peers[:min(len(peers), keeperCount)]
+}
+
+// Restore takes back a flow that an earlier incarnation held.
+func (f *Flows) Restore(now time.Time, kept KeptRecord) *Record {
+	if _, ok := f.records[kept.Key]; ok {
+		return nil
+	}
+	r := &Record{Key: kept.Key, Port: kept.Port, Seen: now, Opened: now, Established: true}
+	f.records[kept.Key] = r
+	f.config.Limiter.AdoptFlow()
+	f.keeping.changed(kept.Key)
+	return r
+}
+
+// A Vault keeps the records of peers. It is not safe for concurrent use.
+type Vault struct {
+	kept map[pollendocument.ServerName]*vaultEntry
+}
+
+type vaultEntry struct {
+	incarnation pollenview.Incarnation
+	service     pollendocument.ServiceName
+	records     map[pollenflow.Key]KeptRecord
+	updated     time.Time
+}
+
+// NewVault returns a new empty Vault.
+func NewVault() *Vault { return &Vault{kept: map[pollendocument.ServerName]*vaultEntry{}} }
+
+// Put stores what a peer gives. What an earlier incarnation gave stays until
+// the later one has given everything.
+func (v *Vault) Put(now time.Time, k Kept) {
+	e := v.kept[k.Name]
+	if e != nil && (e.incarnation > k.Incarnation || e.service != k.Service && !k.Full) {
+		return
+	}
+	if e == nil || k.Full {
+		e = &vaultEntry{records: make(map[pollenflow.Key]KeptRecord, len(k.Records))}
+		v.kept[k.Name] = e
+	}
+	e.incarnation, e.service, e.updated = k.Incarnation, k.Service, now
+	for _, r := range k.Records {
+		e.records[r.Key] = r
+	}
+	for _, key := range k.Removed {
+		delete(e.records, key)
+	}
+}
+
+// Get returns everything that is kept for a peer.
+func (v *Vault) Get(name pollendocument.ServerName, service pollendocument.ServiceName) (Kept, bool) {
+	e, ok := v.kept[name]
+	if !ok || e.service != service {
+		return Kept{}, false
+	}
+	k := Kept{Name: name, Incarnation: e.incarnation, Service: e.service, Full: true}
+	for _, r := range e.records {
+		k.Records = append(k.Records, r)
+	}
+	slices.SortFunc(k.Records, func(a, b KeptRecord) int { return a.Key.Compare(b.Key) })
+	return k, true
+}
+
+// Expire drops what was not updated within the age.
+func (v *Vault) Expire(now time.Time, age time.Duration) {
+	for name, e := range v.kept {
+		if now.Sub(e.updated) >= age {
+			delete(v.kept, name)
+		}
+	}
+}
--- /dev/null
+++ b/pollenbalancer/routes.go
@@ -0,0 +1,147 @@
+// Package pollenbalancer decides to which agent a caller's packet goes. It
+// keeps no state per flow.
+package pollenbalancer
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+
+	"pollenstep.example/pollenstep/pollendocument"
+	"pollenstep.example/pollenstep/pollenflow"
+	"pollenstep.example/pollenstep/pollenview"
+)
+
+// A Target is the agent that a packet goes to.
+type Target struct {
+	Address netip.AddrPort
+	Digest  pollenflow.Digest
+}
+
+// A Route leads the packets of one service address. It is immutable.
+type Route struct {
+	Service pollendocument.ServiceName
+	Address netip.AddrPort
+	Digest  pollenflow.Digest
+	// Revision is that of the view the route was made from, or of a later one
+	// that did not change it.
+	Revision pollenview.Revision
+	// targets holds one entry for each bucket; it is empty when the service
+	// has no agent.
+	targets []Target
+	agents  []pollenview.Member
+	weights []int
+}
+
+// Decide returns the agent for a flow; ok is false when the service has none.
+// It allocates nothing.
+func (r *Route) Decide(key pollenflow.Key) (target *Target, ok bool) {
+	if len(r.targets) == 0 {
+		return nil, false
+	}
+	return &r.targets[pollenflow.BucketOf(r.Digest, key)], true
+}
+
+// Routes holds the route of every service. It is not safe for concurrent use.
+type Routes struct {
+	routes map[pollendocument.ServiceName]*Route
+}
+
+// NewRoutes returns a new Routes with no route.
+func NewRoutes() *Routes {
+	return &Routes{routes: map[pollendocument.ServiceName]*Route{}}
+}
+
+// A Change is a route that is new or replaced; Gone is set when the service is
+// no longer declared.
+type Change struct {
+	Route *Route
+	Gone  bool
+}
+
+// Update follows a newer view and returns what changed, by service name. Only
+// services whose agents, weights or address changed are worked on.
+func (r *Routes) Update(view *pollenview.View) []Change {
+	agents := groupAgents(view)
+	var changes []Change
+	declared := map[pollendocument.ServiceName]bool{}
+	for i := range view.Document.Sections {
+		for _, s := range view.Document.Sections[i].Services {
+			declared[s.Name] = true
+			if route := r.update(view, s, agents[s.Name]); route != nil {
+				changes = append(changes, Change{Route: route})
+			}
+		}
+	}
+	for name, route := range r.routes {
+		if !declared[name] {
+			delete(r.routes, name)
+			changes = append(changes, Change{Route: route, Gone: true})
+		}
+	}
+	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Route.Service, b.Route.Service) })
+	return changes
+}
+
+// update returns the service's new route, or nil when it is as before.
+func (r *Routes) update(view *pollenview.View, s pollendocument.Service, agents []pollenview.Member) *Route {
+	weights := make([]int, len(agents))
+	for i, m := range agents {
+		if setting := view.ServerSetting(m.Name); setting.State == pollendocument.ServerActive {
+			weights[i] = setting.Weight
+		}
+	}
+	old := r.routes[s.Name]
+	if old != nil && old.Address == s.Address && slices.Equal(old.agents, agents) && slices.Equal(old.weights, weights) {
+		return nil
+	}
+	route := &Route{
+		Service: s.Name, Address: s.Address, Digest: pollenflow.DigestOf(s.Name),
+		Revision: view.Revision, agents: agents, weights: weights,
+	}
+	homes := pollenflow.HomesOf(view, agents)
+	for b := range pollenflow.BucketCount {
+		if home, ok := homes.Home(pollenflow.Bucket(b)); ok {
+			route.targets = append(route.targets, Target{Address: home.Address, Digest: pollenflow.DigestOf(home.Name)})
+		}
+	}
+	r.routes[s.Name] = route
+	return route
+}
+
+// groupAgents returns the agents of every service in failure domains that are
+// in, sorted by name.
+func groupAgents(view *pollenview.View) map[pollendocument.ServiceName][]pollenview.Member {
+	agents := map[pollendocument.ServiceName][]pollenview.Member{}
+	for _, m := range view.Members {
+		if m.Role == pollenview.RoleAgent && view.DomainIn(m.Domain) {
+			agents[m.Service] = append(agents[m.Service], m)
+		}
+	}
+	for _, group := range agents {
+		slices.SortFunc(group, func(a, b pollenview.Member) int { return cmp.Compare(a.Name, b.Name) })
+	}
+	return agents
+}
+
+// Versions of QUIC whose initial packets are known.
+const (
+	quicVersion1 = 0x00000001
+	quicVersion2 = 0x6b3343cf
+)
+
+// OpensFlow reports whether a packet is a QUIC initial packet, as laid out in
+// RFC 9000 section 17.2.2 and RFC 9369 section 3.2.
+func OpensFlow(packet []byte) bool {
+	if len(packet) < 5 || packet[0]&0xc0 != 0xc0 {
+		return false
+	}
+	version := uint32(packet[1])<<24 | uint32(packet[2])<<16 | uint32(packet[3])<<8 | uint32(packet[4])
+	switch version {
+	case quicVersion1:
+		return packet[0]&0x30 == 0x00
+	case quicVersion2:
+		return packet[0]&0x30 == 0x10
+	}
+	return false
+}
--- /dev/null
+++ b/pollencommand/output.go
@@ -0,0 +1,108 @@
+package pollencommand
+
+import (
+	"encoding/json"
+	"io"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Forms of output.
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
+func outputFlag() cli.Flag {
+	return &cli.StringFlag{Name: "output", Aliases: []string{"o"}, Value: outputText, Usage: "`FORM` of output: text or json"}
+}
+
+// output writes the value as JSON, or calls text, as the flag says.
+func output(c *cli.Command, value any, text func(w io.Writer)) error {
+	w := c.Root().Writer
+	switch form := c.String("output"); form {
+	case outputText:
+		text(w)
+		return nil
+	case outputJSON:
+		encoder := json.NewEncoder(w)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(value)
+	default:
+		return &exitError{code: ExitInput, text: "flag --output: value \"" + form + "\": allowed: text, json"}
+	}
+}
+
+// The types below are the JSON forms of the verbs' output.
+
+type versionView struct {
+	Version string `json:"version"`
+}
+
+type submitView struct {
+	Verdict    string        `json:"verdict"`
+	ID         string        `json:"id"`
+	Reason     string        `json:"reason,omitempty"`
+	Revision   uint64        `json:"revision,omitempty"`
+	Sections   []sectionView `json:"sections,omitempty"`
+	InForce    bool          `json:"in_force"`
+	Stragglers []string      `json:"stragglers,omitempty"`
+}
+
+type sectionView struct {
+	Team    string   `json:"team"`
+	Version uint64   `json:"version"`
+	Hash    string   `json:"hash,omitempty"`
+	By      string   `json:"by,omitempty"`
+	Fields  []string `json:"fields,omitempty"`
+}
+
+type statusView struct {
+	Revision uint64          `json:"revision"`
+	Term     uint64          `json:"term"`
+	Leader   string          `json:"leader"`
+	Held     int             `json:"held_leases"`
+	Control  []replicaView   `json:"control"`
+	Domains  []domainView    `json:"domains"`
+	Members  []memberView    `json:"members"`
+	Services []serviceStatus `json:"services"`
+}
+
+type replicaView struct {
+	Address string `json:"address"`
+	ID      string `json:"id"`
+	State   string `json:"state"`
+	Lag     uint64 `json:"lag"`
+}
+
+type domainView struct {
+	Domain string `json:"domain"`
+	State  string `json:"state"`
+}
+
+type memberView struct {
+	Name     string `json:"name"`
+	Role     string `json:"role"`
+	Service  string `json:"service,omitempty"`
+	Domain   string `json:"domain"`
+	Address  string `json:"address"`
+	State    string `json:"state"`
+	Revision uint64 `json:"revision"`
+	Lag      uint64 `json:"lag"`
+}
+
+type serviceStatus struct {
+	Service  string   `json:"service"`
+	Address  string   `json:"address"`
+	Team     string   `json:"team"`
+	Taking   int      `json:"taking_new_work"`
+	Agents   int      `json:"agents"`
+	Replicas []string `json:"ledger"`
+}
+
+type diffView struct {
+	Team   string   `json:"team"`
+	Base   uint64   `json:"base"`
+	Now    uint64   `json:"now"`
+	Fields []string `json:"fields"`
+}
--- /dev/null
+++ b/pollencontrol/repair.go
@@ -0,0 +1,156 @@
+package pollencontrol
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+
+	"pollenstep.example/pollenstep/pollenlog"
+)
+
+// A repair replaces the replica that had an address by the empty one that has
+// it now, in three committed steps: the new one becomes a learner, the old one
+// is removed once the learner holds everything that was committed when the
+// repair began, and the learner becomes a voter. It is reported done only when
+// the last step is committed and the new voter holds it.
+type repair struct {
+	reply   Token
+	address netip.AddrPort
+	old     pollenlog.ReplicaID
+	fresh   pollenlog.ReplicaID
+	// target is the index that the learner must hold before it may vote.
+	target pollenlog.Index
+}
+
+// join remembers an empty replica that asks to take part.
+func (n *Node) join(e Join) {
+	if n.leading() {
+		n.candidates[e.ID] = candidate{address: e.Address, heard: n.now}
+	}
+}
+
+// candidateTimeout bounds how old a request to join may be, in leases.
+const candidateTimeout = 2
+
+// growMembership adds candidates whose address no replica has, up to the
+// number of control hosts in the settings, and promotes learners that have
+// caught up. An address that another replica has is left to repair, since a
+// lost disk must not go unnoticed.
+func (n *Node) growMembership() {
+	s := n.log.Status()
+	for id, c := range n.candidates {
+		if n.now.Sub(c.heard) > candidateTimeout*n.config.Lease {
+			delete(n.candidates, id)
+		}
+	}
+	if n.repair != nil {
+		return
+	}
+	for _, r := range s.Membership.Replicas {
+		if !r.Voter && s.Match[r.ID] >= s.Commit {
+			r.Voter = true
+			n.changeMembership(pollenlog.ChangeMembership{Add: r})
+			return
+		}
+	}
+	if len(s.Membership.Replicas) >= n.config.Replicas {
+		return
+	}
+	for _, id := range n.candidateIDs() {
+		c := n.candidates[id]
+		if _, ok := s.Membership.Find(id); ok || holder(s.Membership, c.address) != 0 {
+			continue
+		}
+		n.changeMembership(pollenlog.ChangeMembership{Add: pollenlog.Replica{ID: id, Address: c.address}})
+		return
+	}
+}
+
+func (n *Node) candidateIDs() []pollenlog.ReplicaID {
+	ids := make([]pollenlog.ReplicaID, 0, len(n.candidates))
+	for id := range n.candidates {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func holder(m pollenlog.Membership, address netip.AddrPort) pollenlog.ReplicaID {
+	for _, r := range m.Replicas {
+		if r.Address == address {
+			return r.ID
+		}
+	}
+	return 0
+}
+
+func (n *Node) changeMembership(e pollenlog.ChangeMembership) {
+	n.token++
+	e.Token = n.token
+	n.stepLog(e)
+}
+
+func (n *Node) beginRepair(e Repair) {
+	if !n.leading() {
+		n.refuseNotLeader(e.Token, pollenlog.ErrNotLeader)
+		return
+	}
+	if n.repair != nil && n.repair.address != e.Address {
+		n.reply(e.Token, Answer{
+			Verdict: VerdictNotRun, Reason: fmt.Sprintf("a repair of %s is under way", n.repair.address),
+		})
+		return
+	}
+	s := n.log.Status()
+	r := &repair{reply: e.Token, address: e.Address, target: s.Last}
+	for _, id := range n.candidateIDs() {
+		if n.candidates[id].address == e.Address {
+			r.fresh = id
+		}
+	}
+	for _, member := range s.Membership.Replicas {
+		if member.Address == e.Address && member.ID != r.fresh {
+			r.old = member.ID
+		}
+	}
+	if r.fresh == 0 {
+		n.reply(e.Token, Answer{
+			Verdict: VerdictNotRun,
+			Reason:  fmt.Sprintf("no empty replica at %s has asked to join; start the host with an empty data folder first", e.Address),
+		})
+		return
+	}
+	if n.repair != nil {
+		n.reply(n.repair.reply, Answer{Verdict: VerdictUnknown, Reason: "the repair was asked for again"})
+	}
+	n.repair = r
+	n.continueRepair()
+}
+
+// continueRepair takes the step that is due.
+func (n *Node) continueRepair() {
+	r := n.repair
+	if r == nil {
+		return
+	}
+	s := n.log.Status()
+	fresh, joined := s.Membership.Find(r.fresh)
+	_, oldThere := s.Membership.Find(r.old)
+	switch {
+	case !joined:
+		n.changeMembership(pollenlog.ChangeMembership{
+			Add: pollenlog.Replica{ID: r.fresh, Address: r.address},
+		})
+	case s.Match[r.fresh] < r.target:
+		return
+	case r.old != 0 && oldThere:
+		n.changeMembership(pollenlog.ChangeMembership{Remove: r.old})
+	case !fresh.Voter:
+		fresh.Voter = true
+		n.changeMembership(pollenlog.ChangeMembership{Add: fresh})
+		r.target = n.log.Status().Last
+	case s.Commit >= r.target:
+		n.repair = nil
+		n.reply(r.reply, Answer{Verdict: VerdictDone})
+	}
+}
--- /dev/null
+++ b/pollendocument/read.go
@@ -0,0 +1,128 @@
+package pollendocument
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"pollenstep.example/pollenstep/pollenyaml"
+)
+
+// Format is the version of the document's layout.
+const Format = 1
+
+// Limits of a document's values.
+const (
+	maxSlots       = 10_000
+	maxConnections = 1_000_000
+	maxQueue       = 10_000
+	maxWeight      = 1_000
+	maxVersion     = 1 << 62
+	minDeadline    = 10 * time.Millisecond
+	maxDeadline    = 10 * time.Minute
+	minRetention   = time.Second
+	maxRetention   = 24 * time.Hour
+	minIdle        = time.Second
+	maxIdle        = time.Hour
+)
+
+// Defaults of a service's optional values.
+const (
+	defaultQueue     = 16
+	defaultDeadline  = 5 * time.Second
+	defaultRetention = 10 * time.Minute
+	defaultIdle      = 90 * time.Second
+)
+
+// Read parses and checks a document text. The error lists every problem with
+// its line.
+func Read(file string, text []byte) (*Document, error) {
+	report := &pollenyaml.Report{File: file}
+	root := pollenyaml.Parse(report, text)
+	if root == nil {
+		return nil, report.Err()
+	}
+	d := &Document{}
+	format := 0
+	pollenyaml.Required(root, "format", &format, pollenyaml.Integer(Format, Format))
+	lines := map[string]int{}
+	readDomains(root, d)
+	root.List("teams", true, func(m *pollenyaml.Mapping) { readTeam(m, d, lines) })
+	root.Done("format", "version", "domains", "teams")
+	for _, c := range d.Check() {
+		report.Add(max(1, lines[string(c.Team)+"."+c.Field]), c.Field, c.Fault, "a document without contradictions")
+	}
+	if err := report.Err(); err != nil {
+		return nil, err
+	}
+	slices.SortFunc(d.Sections, func(a, b Section) int {
+		if a.Team < b.Team {
+			return -1
+		}
+		return 1
+	})
+	return d, nil
+}
+
+func readDomains(root *pollenyaml.Mapping, d *Document) {
+	s := Section{Team: DomainsTeam}
+	pollenyaml.Optional(root, "version", &s.Version, pollenyaml.Integer[uint64](0, maxVersion))
+	seen := map[DomainName]bool{}
+	root.List("domains", true, func(m *pollenyaml.Mapping) {
+		v := Domain{State: DomainIn}
+		pollenyaml.Required(m, "domain", &v.Name, pollenyaml.Name[DomainName]())
+		pollenyaml.Optional(m, "state", &v.State, pollenyaml.Enum(DomainIn, DomainOut))
+		m.Done("domain", "state")
+		if seen[v.Name] {
+			m.Problem("domain", string(v.Name), "each failure domain once")
+		}
+		seen[v.Name] = true
+		s.Domains = append(s.Domains, v)
+	})
+	s.Sort()
+	d.Sections = append(d.Sections, s)
+}
+
+func readTeam(m *pollenyaml.Mapping, d *Document, lines map[string]int) {
+	s := Section{}
+	pollenyaml.Required(m, "team", &s.Team, pollenyaml.Name[Team]())
+	pollenyaml.Optional(m, "version", &s.Version, pollenyaml.Integer[uint64](0, maxVersion))
+	if s.Team == DomainsTeam || d.Section(s.Team) != nil {
+		m.Problem("team", string(s.Team), "each team once, and not "+strconv.Quote(string(DomainsTeam)))
+	}
+	m.List("services", false, func(m *pollenyaml.Mapping) {
+		v := readService(m)
+		lines[string(s.Team)+".services."+string(v.Name)] = m.Line()
+		s.Services = append(s.Services, v)
+	})
+	m.List("servers", false, func(m *pollenyaml.Mapping) {
+		v := Server{State: ServerActive, Weight: DefaultWeight}
+		pollenyaml.Required(m, "server", &v.Name, pollenyaml.Name[ServerName]())
+		pollenyaml.Optional(m, "state", &v.State, pollenyaml.Enum(ServerActive, ServerDraining))
+		pollenyaml.Optional(m, "weight", &v.Weight, pollenyaml.Integer(1, maxWeight))
+		m.Done("server", "state", "weight")
+		lines[string(s.Team)+".servers."+string(v.Name)] = m.Line()
+		s.Servers = append(s.Servers, v)
+	})
+	m.Done("team", "version", "services", "servers")
+	s.Sort()
+	d.Sections = append(d.Sections, s)
+}
+
+func readService(m *pollenyaml.Mapping) Service {
+	v := Service{
+		Queue: defaultQueue, Deadline: defaultDeadline, Retention: defaultRetention, Idle: defaultIdle, Cold: 1,
+	}
+	pollenyaml.Required(m, "service", &v.Name, pollenyaml.Name[ServiceName]())
+	pollenyaml.Required(m, "address", &v.Address, pollenyaml.AddrPort())
+	pollenyaml.Required(m, "delivery", &v.Delivery, pollenyaml.Enum(DeliveryRelay, DeliveryHTTP))
+	pollenyaml.Required(m, "slots", &v.Slots, pollenyaml.Integer(1, maxSlots))
+	pollenyaml.Required(m, "connections", &v.Connections, pollenyaml.Integer(1, maxConnections))
+	pollenyaml.Optional(m, "cold", &v.Cold, pollenyaml.Integer(1, maxSlots))
+	pollenyaml.Optional(m, "queue", &v.Queue, pollenyaml.Integer(0, maxQueue))
+	pollenyaml.Optional(m, "deadline", &v.Deadline, pollenyaml.Duration(minDeadline, maxDeadline))
+	pollenyaml.Optional(m, "retention", &v.Retention, pollenyaml.Duration(minRetention, maxRetention))
+	pollenyaml.Optional(m, "idle", &v.Idle, pollenyaml.Duration(minIdle, maxIdle))
+	m.Done("service", "address", "delivery", "slots", "connections", "cold", "queue", "deadline", "retention", "idle")
+	return v
+}
--- /dev/null
+++ b/pollenflow/homes.go
@@ -0,0 +1,105 @@
+package pollenflow
+
+import (
+	"cmp"
+	"encoding/binary"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pollenstep.example/pollenstep/pollendocument"
+	"pollenstep.example/pollenstep/pollenview"
+)
+
+// Homes assigns each bucket of a service to its home agent by weighted
+// rendezvous hashing. It is immutable, and equal at every process that has the
+// same members and weights.
+type Homes struct {
+	// members is sorted by name.
+	members []pollenview.Member
+	// buckets holds indexes into members; it is empty when there is none.
+	buckets []uint16
+}
+
+// NewHomes returns a new Homes for the service over the members of the view
+// that take new work. When none does, draining members are the homes, so that
+// flows that are open can still be found.
+func NewHomes(view *pollenview.View, service pollendocument.ServiceName) *Homes {
+	return HomesOf(view, view.Agents(service))
+}
+
+// HomesOf returns a new Homes over a service's agents, sorted by name, in
+// failure domains that are in.
+func HomesOf(view *pollenview.View, agents []pollenview.Member) *Homes {
+	members := slices.DeleteFunc(slices.Clone(agents), func(m pollenview.Member) bool {
+		return !view.TakesNewWork(m)
+	})
+	if len(members) == 0 {
+		members = agents
+	}
+	weights := make([]float64, len(members))
+	for i, m := range members {
+		weights[i] = float64(view.ServerSetting(m.Name).Weight)
+	}
+	return newHomes(members, weights)
+}
+
+func newHomes(members []pollenview.Member, weights []float64) *Homes {
+	h := &Homes{members: members}
+	if len(members) == 0 {
+		return h
+	}
+	seeds := make([]uint64, len(members))
+	for i, m := range members {
+		seeds[i] = DigestOf(m.Name)
+	}
+	h.buckets = make([]uint16, BucketCount)
+	for b := range h.buckets {
+		best, bestScore := 0, math.Inf(-1)
+		for i := range members {
+			if score := rendezvousScore(Bucket(b), seeds[i], weights[i]); score > bestScore {
+				best, bestScore = i, score
+			}
+		}
+		h.buckets[b] = uint16(best)
+	}
+	return h
+}
+
+// rendezvousScore draws a number for the bucket and member whose maximum over
+// the members falls on each of them in proportion to its weight.
+func rendezvousScore(b Bucket, seed uint64, weight float64) float64 {
+	var raw [10]byte
+	binary.BigEndian.PutUint64(raw[:], seed)
+	binary.BigEndian.PutUint16(raw[8:], uint16(b))
+	const mantissa = 1 << 53
+	uniform := (float64(xxhash.Sum64(raw[:])>>11) + 0.5) / mantissa
+	return -weight / math.Log(uniform)
+}
+
+// Home returns the home agent of a bucket; ok is false when the service has no
+// agent.
+func (h *Homes) Home(b Bucket) (home *pollenview.Member, ok bool) {
+	if h == nil || len(h.buckets) == 0 {
+		return nil, false
+	}
+	return &h.members[h.buckets[b]], true
+}
+
+// Members returns the agents that are homes, sorted by name.
+func (h *Homes) Members() []pollenview.Member { return h.members }
+
+// Find returns the home agent called name.
+func (h *Homes) Find(name pollendocument.ServerName) (*pollenview.Member, bool) {
+	at, ok := slices.BinarySearchFunc(h.members, name, func(m pollenview.Member, n pollendocument.ServerName) int {
+		return cmp.Compare(m.Name, n)
+	})
+	if !ok {
+		return nil, false
+	}
+	return &h.members[at], true
+}
+
+// Equal reports whether every bucket has its home at the same position.
+func (h *Homes) Equal(other *Homes) bool { return slices.Equal(h.buckets, other.buckets) }
--- /dev/null
+++ b/pollenlog/errors.go
@@ -0,0 +1,14 @@
+package pollenlog
+
+import "github.com/pkg/errors"
+
+// Errors with which proposals are rejected. Nothing was appended.
+var (
+	ErrNotLeader         = errors.New("replica is not the leader")
+	ErrNoQuorum          = errors.New("leader has lost contact with the quorum")
+	ErrChangePending     = errors.New("a membership change is still being committed")
+	ErrTransferring      = errors.New("leadership is being transferred")
+	ErrUnknownReplica    = errors.New("replica is not in the membership")
+	ErrLastVoter         = errors.New("the last voter cannot be removed")
+	ErrDuplicateIdentity = errors.New("replica is in the membership already")
+)
--- /dev/null
+++ b/pollenoperator/client.go
@@ -0,0 +1,151 @@
+// Package pollenoperator makes operators' calls: it finds the leading control
+// host, resends safely and says what is known of the outcome.
+package pollenoperator
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"pollenstep.example/pollenstep/pollencall"
+	"pollenstep.example/pollenstep/pollencontrol"
+	"pollenstep.example/pollenstep/pollendocument"
+	"pollenstep.example/pollenstep/pollenkey"
+	"pollenstep.example/pollenstep/pollenview"
+	"pollenstep.example/pollenstep/pollenwire"
+)
+
+// Timing of operators' calls.
+const (
+	tryTimeout = 6 * time.Second
+	tryPause   = 150 * time.Millisecond
+	pollPause  = 50 * time.Millisecond
+)
+
+// ErrNoAnswer is the cause of errors after which nothing is known.
+var ErrNoAnswer = errors.New("no control host answered")
+
+// A Client makes operators' calls. It is safe for concurrent use.
+type Client struct {
+	control []netip.AddrPort
+	calls   *pollencall.Client
+}
+
+// NewClient returns a new Client of the control hosts.
+func NewClient(control []netip.AddrPort, ring *pollenkey.Ring) *Client {
+	return &Client{control: control, calls: pollencall.NewClient(ring.Client)}
+}
+
+// Close closes the client's connections.
+func (c *Client) Close() error { return c.calls.Close() }
+
+// Submit submits a document until its outcome is known or the context ends.
+// The verdict is VerdictNotRun only if no try was ever proposed.
+func (c *Client) Submit(ctx context.Context, s pollenwire.SubmitCall) (pollencontrol.Answer, error) {
+	return c.ask(ctx, pollencall.MethodSubmit, pollenwire.Marshal(&s, pollenwire.MapSubmitCall))
+}
+
+// State returns the system's state as confirmed by a quorum.
+func (c *Client) State(ctx context.Context) (*pollencontrol.State, error) {
+	answer, err := c.ask(ctx, pollencall.MethodState, nil)
+	if err != nil {
+		return nil, err
+	}
+	if answer.State == nil {
+		return nil, errors.Wrap(ErrNoAnswer, answer.Reason)
+	}
+	return answer.State, nil
+}
+
+// Repair replaces the replica that had the address.
+func (c *Client) Repair(ctx context.Context, address netip.AddrPort) (pollencontrol.Answer, error) {
+	return c.ask(ctx, pollencall.MethodRepair, pollenwire.Marshal(&address, pollenwire.MapAddress))
+}
+
+// ask tries the control hosts in turn, the leader first once it is known,
+// until one decides. Once a try may have had an effect, a later refusal of
+// another host does not undo that.
+func (c *Client) ask(ctx context.Context, method pollencall.Method, request []byte) (pollencontrol.Answer, error) {
+	last := pollencontrol.Answer{Verdict: pollencontrol.VerdictNotRun, Reason: ErrNoAnswer.Error()}
+	unknown := false
+	var leader netip.AddrPort
+	for try := 0; ctx.Err() == nil; try++ {
+		to := c.control[try%len(c.control)]
+		if leader.IsValid() && slices.Contains(c.control, leader) {
+			to, leader = leader, netip.AddrPort{}
+		}
+		answer, err := c.try(ctx, to, method, request)
+		switch {
+		case errors.Is(err, pollencall.ErrNotSent):
+		case err != nil:
+			unknown = true
+		case answer.Verdict == pollencontrol.VerdictDone || answer.Verdict == pollencontrol.VerdictRefused:
+			return answer, nil
+		default:
+			unknown = unknown || answer.Verdict == pollencontrol.VerdictUnknown
+			last = answer
+			leader = answer.Leader
+			if leader.IsValid() && leader != to {
+				continue
+			}
+		}
+		pause(ctx, tryPause)
+	}
+	if unknown {
+		last.Verdict = pollencontrol.VerdictUnknown
+	}
+	return last, nil
+}
+
+func (c *Client) try(
+	ctx context.Context, to netip.AddrPort, method pollencall.Method, request []byte,
+) (answer pollencontrol.Answer, err error) {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	raw, err := c.calls.Call(ctx, to, method, request)
+	if err != nil {
+		return answer, err
+	}
+	err = pollenwire.Unmarshal(raw, &answer, pollenwire.MapOperatorAnswer)
+	return answer, err
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// WaitInForce returns when every live member reports the revision, or the
+// stragglers when the context ends.
+func (c *Client) WaitInForce(ctx context.Context, revision pollenview.Revision) []pollendocument.ServerName {
+	var stragglers []pollendocument.ServerName
+	for {
+		state, err := c.State(ctx)
+		if err == nil {
+			stragglers = Stragglers(state, revision)
+			if len(stragglers) == 0 {
+				return nil
+			}
+		}
+		if ctx.Err() != nil {
+			return stragglers
+		}
+		pause(ctx, pollPause)
+	}
+}
+
+// Stragglers returns the live members that do not report the revision yet.
+func Stragglers(state *pollencontrol.State, revision pollenview.Revision) []pollendocument.ServerName {
+	var names []pollendocument.ServerName
+	for _, m := range state.Members {
+		if !m.Silent && m.Revision < revision {
+			names = append(names, m.Member.Name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/pollenprocess/membership.go
@@ -0,0 +1,160 @@
+package pollenprocess
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"pollenstep.example/pollenstep/pollencall"
+	"pollenstep.example/pollenstep/pollenkernel"
+	"pollenstep.example/pollenstep/pollenmember"
+	"pollenstep.example/pollenstep/pollenmetric"
+	"pollenstep.example/pollenstep/pollenview"
+	"pollenstep.example/pollenstep/pollenwire"
+)
+
+// Timing of the member loop.
+const (
+	HeartbeatInterval = time.Second
+	// StartBound is how long a start waits for a majority of control hosts.
+	StartBound   = 3 * time.Second
+	fetchTimeout = 2 * time.Second
+	tickInterval = 50 * time.Millisecond
+)
+
+// A Membership runs a pollenmember.Node. Its lock also guards what the
+// callbacks touch.
+type Membership struct {
+	base *Base
+	// OnView is called with the lock held when the view has moved forward.
+	OnView func(now time.Time, view *pollenview.View)
+
+	mu   sync.Mutex
+	node *pollenmember.Node
+	// changed is closed and replaced at each change of the view.
+	changed chan struct{}
+	current atomic.Bool
+}
+
+// NewMembership returns a new Membership that announces self.
+func NewMembership(b *Base, self pollenview.Member, onView func(now time.Time, view *pollenview.View)) *Membership {
+	m := &Membership{
+		base: b, OnView: onView, changed: make(chan struct{}),
+		node: pollenmember.NewNode(pollenmember.Config{
+			Self: self, Control: b.Settings.Control, Interval: HeartbeatInterval,
+			StartBound: StartBound, FetchTimeout: fetchTimeout, Seed: uint64(self.Incarnation),
+		}),
+	}
+	b.Socket.Handle(pollenwire.DatagramNotice, m.takeNotice)
+	b.Every("membership", tickInterval, func(now time.Time) { m.Step(now, pollenmember.Tick{}) })
+	return m
+}
+
+// Lock locks the view and what the callbacks touch.
+func (m *Membership) Lock() { m.mu.Lock() }
+
+// Unlock undoes Lock.
+func (m *Membership) Unlock() { m.mu.Unlock() }
+
+// Current reports whether the view was once found current enough to serve
+// from. It stays true during a planned stop.
+func (m *Membership) Current() bool { return m.current.Load() }
+
+// View returns the view; the lock must be held while it is used.
+func (m *Membership) View() *pollenview.View { return m.node.View() }
+
+// Step passes an event to the node and carries out its actions.
+func (m *Membership) Step(now time.Time, e pollenmember.Event) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.StepLocked(now, e)
+}
+
+// StepLocked is Step with the lock held.
+func (m *Membership) StepLocked(now time.Time, e pollenmember.Event) {
+	for _, a := range m.node.Step(now, e) {
+		switch a := a.(type) {
+		case pollenmember.SendHeartbeat:
+			m.send(a.To, pollenwire.DatagramHeartbeat, pollenwire.Marshal(&a.Heartbeat, pollenwire.MapHeartbeat))
+		case pollenmember.SendNotice:
+			m.send(a.To, pollenwire.DatagramNotice, pollenwire.Marshal(&a.Notice, pollenwire.MapNotice))
+		case pollenmember.Fetch:
+			go m.fetch(a)
+		case pollenmember.ViewChanged:
+			m.base.Metrics.Count(pollenmetric.EventViewChanged, 1)
+			m.OnView(now, m.node.View())
+			close(m.changed)
+			m.changed = make(chan struct{})
+		case pollenmember.Ready:
+			if a.Alone {
+				m.base.Metrics.Count(pollenmetric.EventStartedAlone, 1)
+				m.base.Log.Warn("no majority of control hosts answered; serving the newest view heard of")
+			}
+			m.current.Store(true)
+			m.base.SetReady(true)
+		}
+	}
+}
+
+func (m *Membership) send(to netip.AddrPort, kind pollenwire.DatagramKind, payload []byte) {
+	m.base.Socket.Send(to, &pollenwire.Header{Kind: kind, Revision: m.node.View().Revision}, payload)
+}
+
+func (m *Membership) takeNotice(_ *pollenwire.Header, from netip.AddrPort, buffer []byte, size int) {
+	var notice pollenmember.Notice
+	payload := buffer[pollenwire.HeaderSize : pollenwire.HeaderSize+size]
+	if err := pollenwire.Unmarshal(payload, &notice, pollenwire.MapNotice); err != nil {
+		m.base.Metrics.Refused(pollenkernel.RefusalMalformed)
+		return
+	}
+	m.Step(time.Now(), pollenmember.NoticeReceived{From: from, Notice: notice})
+}
+
+func (m *Membership) fetch(a pollenmember.Fetch) {
+	m.base.Metrics.Retried(pollenkernel.RetryFetch)
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	answer, err := m.base.Client.Call(ctx, a.From, pollencall.MethodFetch, pollenwire.Marshal(&a.Have, pollenwire.MapRevision))
+	var update pollenview.Update
+	if err == nil {
+		err = pollenwire.Unmarshal(answer, &update, pollenwire.MapUpdate)
+	}
+	if err != nil {
+		m.Step(time.Now(), pollenmember.FetchFailed{})
+		return
+	}
+	m.Step(time.Now(), pollenmember.Fetched{Update: update})
+}
+
+// HandleFetch answers a process whose view is behind.
+func (m *Membership) HandleFetch(_ context.Context, request []byte) ([]byte, error) {
+	var have pollenview.Revision
+	if err := pollenwire.Unmarshal(request, &have, pollenwire.MapRevision); err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	update := m.node.Since(have)
+	return pollenwire.Marshal(&update, pollenwire.MapUpdate), nil
+}
+
+// WaitFor returns when the condition, which is checked with the lock held
+// after each change of the view, holds, or when the context ends.
+func (m *Membership) WaitFor(ctx context.Context, condition func(view *pollenview.View) bool) {
+	for {
+		m.mu.Lock()
+		done := condition(m.node.View())
+		changed := m.changed
+		m.mu.Unlock()
+		if done {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
--- /dev/null
+++ b/pollenprocess/socket.go
@@ -0,0 +1,135 @@
+package pollenprocess
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+
+	"pollenstep.example/pollenstep/pollenkernel"
+	"pollenstep.example/pollenstep/pollenmetric"
+	"pollenstep.example/pollenstep/pollenwire"
+)
+
+// BufferSize is the size of the buffers for datagrams: the largest caller
+// packet that is relayed is what remains beside header and trailer.
+const BufferSize = 4096
+
+// MaxPacket is the largest caller packet that is relayed, in bytes.
+const MaxPacket = BufferSize - pollenwire.HeaderSize - pollenwire.TrailerSize
+
+// socketBuffer is the size asked of the kernel for queued datagrams.
+const socketBuffer = 4 << 20
+
+// A DatagramHandler takes an authentic datagram. The payload lies in buffer
+// from pollenwire.HeaderSize on and is valid until the handler returns.
+type DatagramHandler func(h *pollenwire.Header, from netip.AddrPort, buffer []byte, size int)
+
+// A Socket exchanges authenticated datagrams with other processes. It is safe
+// for concurrent use.
+type Socket struct {
+	conn     *net.UDPConn
+	sealer   atomic.Pointer[pollenwire.Sealer]
+	metrics  *pollenmetric.Set
+	buffers  sync.Pool
+	handlers map[pollenwire.DatagramKind]DatagramHandler
+}
+
+// OpenSocket returns a new Socket at the address.
+func OpenSocket(address netip.AddrPort, keys [][]byte, metrics *pollenmetric.Set) (*Socket, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, errors.Wrap(err, "open datagram socket")
+	}
+	_ = conn.SetReadBuffer(socketBuffer)
+	_ = conn.SetWriteBuffer(socketBuffer)
+	s := &Socket{
+		conn: conn, metrics: metrics,
+		buffers:  sync.Pool{New: func() any { b := make([]byte, BufferSize); return &b }},
+		handlers: map[pollenwire.DatagramKind]DatagramHandler{},
+	}
+	if err := s.SetKeys(keys); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// SetKeys replaces the datagram keys.
+func (s *Socket) SetKeys(keys [][]byte) error {
+	sealer, err := pollenwire.NewSealer(keys, drawPrefix())
+	if err != nil {
+		return err
+	}
+	s.sealer.Store(sealer)
+	return nil
+}
+
+// Handle sets the handler of a kind, before Serve.
+func (s *Socket) Handle(kind pollenwire.DatagramKind, handler DatagramHandler) {
+	s.handlers[kind] = handler
+}
+
+// Send passes a payload to another process. A datagram that cannot be sent is
+// counted and lost.
+func (s *Socket) Send(to netip.AddrPort, h *pollenwire.Header, payload []byte) {
+	if len(payload) > MaxPacket {
+		s.metrics.Refused(pollenkernel.RefusalTooLarge)
+		return
+	}
+	b := s.buffers.Get().(*[]byte)
+	copy((*b)[pollenwire.HeaderSize:], payload)
+	s.SendInPlace(to, h, *b, len(payload))
+	s.buffers.Put(b)
+}
+
+// SendInPlace passes on a payload that lies in the buffer from
+// pollenwire.HeaderSize on, without copying it.
+func (s *Socket) SendInPlace(to netip.AddrPort, h *pollenwire.Header, buffer []byte, size int) {
+	datagram := s.sealer.Load().Seal(buffer, size, h)
+	if _, err := s.conn.WriteToUDPAddrPort(datagram, to); err != nil {
+		s.metrics.Count(pollenmetric.EventSendFailed, 1)
+	}
+}
+
+// Serve hands datagrams to the handlers until the context ends.
+func (s *Socket) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.conn.Close() })
+	defer stop()
+	buffer := make([]byte, BufferSize)
+	for {
+		n, from, err := s.conn.ReadFromUDPAddrPort(buffer)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return errors.Wrap(err, "read datagrams")
+			}
+			continue
+		}
+		s.dispatch(buffer, n, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+	}
+}
+
+func (s *Socket) dispatch(buffer []byte, n int, from netip.AddrPort) {
+	var h pollenwire.Header
+	payload, err := s.sealer.Load().Open(buffer[:n], &h)
+	if err != nil {
+		if errors.Is(err, pollenwire.ErrForged) {
+			s.metrics.Refused(pollenkernel.RefusalForged)
+		} else {
+			s.metrics.Refused(pollenkernel.RefusalMalformed)
+		}
+		return
+	}
+	handler, ok := s.handlers[h.Kind]
+	if !ok {
+		s.metrics.Refused(pollenkernel.RefusalMalformed)
+		return
+	}
+	handler(&h, from, buffer, len(payload))
+}
--- /dev/null
+++ b/pollenrequest/place.go
@@ -0,0 +1,231 @@
+package pollenrequest
+
+import (
+	"slices"
+	"time"
+
+	"pollenstep.example/pollenstep/pollenadmission"
+	"pollenstep.example/pollenstep/pollendocument"
+	"pollenstep.example/pollenstep/pollenflow"
+	"pollenstep.example/pollenstep/pollenkernel"
+	"pollenstep.example/pollenstep/pollenledger"
+	"pollenstep.example/pollenstep/pollenview"
+)
+
+// place runs a request here, passes it to another agent, queues it or refuses
+// it.
+func (n *Node) place(r *request) {
+	if to, ok := n.choosePeer(r); ok {
+		n.runAt(r, to)
+		return
+	}
+	if len(n.queue) == 0 && !n.leaving() && n.config.Limiter.Begin() {
+		n.run(r)
+		return
+	}
+	n.enqueue(r)
+}
+
+// choosePeer returns another agent with room, unless the agent itself is the
+// better place.
+func (n *Node) choosePeer(r *request) (pollenview.Member, bool) {
+	u := n.config.Limiter.Usage()
+	own := pollenflow.Load{
+		Name: n.config.Self.Name, Running: u.Running, Waiting: len(n.queue), Limit: u.Limit,
+	}
+	if n.leaving() || n.stopping {
+		own.Limit = 0
+	}
+	n.scratch = append(n.scratch[:0], own)
+	for _, m := range n.view.Agents(n.service.Name) {
+		if m.Name == n.config.Self.Name || !n.view.TakesNewWork(m) || slices.Contains(r.tried, m.Name) {
+			continue
+		}
+		if load, ok := n.config.Loads.Get(n.now, m.Name); ok {
+			n.scratch = append(n.scratch, load)
+		}
+	}
+	at, ok := n.config.Placement.Choose(n.random, n.scratch, pollenflow.RequestFullness)
+	if !ok || at == 0 {
+		return pollenview.Member{}, false
+	}
+	m, ok := n.view.Members[n.scratch[at].Name]
+	return m, ok
+}
+
+func (n *Node) runAt(r *request, to pollenview.Member) {
+	r.stage = stageRemote
+	r.tried = append(r.tried, to.Name)
+	n.config.Loads.AddRequest(n.now, to.Name)
+	n.emit(RunAt{ID: r.ID, To: to, Deadline: r.Deadline})
+}
+
+// enqueue lets a request wait for a slot here if it can be served in time.
+func (n *Node) enqueue(r *request) {
+	switch {
+	case n.leaving():
+		n.refuse(r, pollenkernel.RefusalDraining)
+	case len(n.queue) >= n.service.Queue:
+		n.refuse(r, pollenkernel.RefusalQueueFull)
+	case n.now.Add(n.expectedWait()).After(r.Deadline):
+		n.refuse(r, pollenkernel.RefusalSlots)
+	default:
+		r.stage = stageQueued
+		n.queue = append(n.queue, r.ID)
+	}
+}
+
+// expectedWait estimates the time until a request that joins the queue runs.
+func (n *Node) expectedWait() time.Duration {
+	limit := max(1, n.config.Limiter.Usage().Limit)
+	rounds := len(n.queue)/limit + 1
+	return time.Duration(rounds) * n.average
+}
+
+// serveQueue runs waiting requests while there is room.
+func (n *Node) serveQueue() {
+	for len(n.queue) > 0 {
+		r, ok := n.requests[n.queue[0]]
+		if !ok || r.stage != stageQueued {
+			n.queue = n.queue[1:]
+			continue
+		}
+		if !n.config.Limiter.Begin() {
+			return
+		}
+		n.queue = n.queue[1:]
+		n.run(r)
+	}
+}
+
+func (n *Node) runDone(e RunDone) {
+	r, ok := n.requests[e.ID]
+	if !ok || r.stage != stageRunning {
+		return
+	}
+	if e.Signal == "" {
+		n.config.Limiter.Cancel()
+	} else {
+		n.config.Limiter.End(e.Signal)
+	}
+	if e.Signal == pollenadmission.SignalSuccess {
+		const smoothing = 8
+		n.average += (n.now.Sub(r.began) - n.average) / smoothing
+	}
+	n.conclude(r, e.Result, pollenkernel.RefusalBackendFailed, e.Answer)
+	n.serveQueue()
+}
+
+func (n *Node) remoteDone(e RemoteDone) {
+	r, ok := n.requests[e.ID]
+	if !ok || r.stage != stageRemote {
+		return
+	}
+	if e.Result == ResultNotSent && e.Why != pollenkernel.RefusalDeadline {
+		n.config.Loads.Hear(n.now, pollenflow.Load{Name: lastTried(r), Limit: 0})
+	}
+	n.conclude(r, e.Result, e.Why, e.Answer)
+}
+
+func lastTried(r *request) pollendocument.ServerName { return r.tried[len(r.tried)-1] }
+
+// conclude ends a request whose run has ended, or places it elsewhere when no
+// backend server has seen it.
+func (n *Node) conclude(r *request, result Result, why pollenkernel.Refusal, answer pollenledger.Answer) {
+	switch result {
+	case ResultAnswered:
+		r.outcome = answer
+		if r.claim.Sequence != 0 {
+			n.store(r)
+			return
+		}
+		n.finish(r, Answered{ID: r.ID, Answer: answer})
+	case ResultNotSent, ResultShed:
+		if r.Forwarded || r.abandoned || !n.now.Before(r.Deadline) {
+			n.refuse(r, why)
+			return
+		}
+		n.replace(r, why)
+	case ResultFailed:
+		n.settle(r, pollenledger.ClaimUnknown)
+		n.finish(r, Refuse{ID: r.ID, Why: why, Execution: pollenkernel.ExecutionUnknown})
+	}
+}
+
+// replace places a request again, within the budget for retries.
+func (n *Node) replace(r *request, why pollenkernel.Refusal) {
+	if n.retries < 1 {
+		n.emit(Counted{Why: pollenkernel.RefusalRetryBudget})
+		n.refuse(r, why)
+		return
+	}
+	n.retries--
+	n.emit(Retried{Why: pollenkernel.RetryOtherAgent})
+	n.place(r)
+}
+
+// A Counted refusal is to be counted; the caller gets another answer.
+type Counted struct{ Why pollenkernel.Refusal }
+
+func (Counted) action() {}
+
+// cancel ends a request whose caller is gone. A keyed request that runs goes
+// on, so that a repeat finds its answer.
+func (n *Node) cancel(id ID) {
+	r, ok := n.requests[id]
+	if !ok {
+		return
+	}
+	r.abandoned = true
+	switch r.stage {
+	case stageClaiming, stageQueued:
+		n.refuse(r, pollenkernel.RefusalCancelled)
+	case stageRunning, stageRemote:
+		if r.Key == "" {
+			n.emit(CancelRun{ID: id})
+		}
+	case stageStoring:
+	}
+}
+
+// tick expires what is due.
+func (n *Node) tick() {
+	for _, id := range n.due() {
+		r := n.requests[id]
+		switch r.stage {
+		case stageClaiming:
+			if !n.now.Before(r.Deadline) {
+				n.expireClaim(r)
+			} else {
+				n.askClaim(r)
+			}
+		case stageQueued:
+			n.refuse(r, pollenkernel.RefusalDeadline)
+		case stageRunning, stageRemote:
+			n.emit(CancelRun{ID: id})
+		case stageStoring:
+			n.finish(r, Answered{ID: r.ID, Answer: r.outcome})
+		}
+	}
+	n.released.Expire(n.now, nil)
+	n.serveQueue()
+}
+
+// due returns the requests for which something is to be done, in order.
+func (n *Node) due() []ID {
+	var ids []ID
+	for id, r := range n.requests {
+		late := !n.now.Before(r.Deadline)
+		switch r.stage {
+		case stageClaiming:
+			late = late || !r.again.IsZero() && !n.now.Before(r.again)
+		case stageStoring:
+			late = !n.now.Before(r.until)
+		}
+		if late {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/pollensettings/settings.go
@@ -0,0 +1,194 @@
+// Package pollensettings reads the settings file of a process and checks it
+// whole before the process starts.
+package pollensettings
+
+import (
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"pollenstep.example/pollenstep/pollenadmission"
+	"pollenstep.example/pollenstep/pollendocument"
+	"pollenstep.example/pollenstep/pollenflow"
+	"pollenstep.example/pollenstep/pollenkey"
+	"pollenstep.example/pollenstep/pollenyaml"
+)
+
+// A Role says which process the settings are for.
+type Role string
+
+// Roles.
+const (
+	RoleControl  Role = "control"
+	RoleBalancer Role = "balancer"
+	RoleAgent    Role = "agent"
+	RoleOperator Role = "operator"
+)
+
+// A LogFormat says how log lines are written.
+type LogFormat string
+
+// Log formats.
+const (
+	LogText LogFormat = "text"
+	LogJSON LogFormat = "json"
+)
+
+// A LogLevel is the least severe level that is logged.
+type LogLevel string
+
+// Log levels.
+const (
+	LogDebug LogLevel = "debug"
+	LogInfo  LogLevel = "info"
+	LogWarn  LogLevel = "warn"
+	LogError LogLevel = "error"
+)
+
+// Settings configure one process.
+type Settings struct {
+	Role   Role
+	Name   pollendocument.ServerName
+	Domain pollendocument.DomainName
+	// Address takes datagrams over UDP and calls over TCP.
+	Address netip.AddrPort
+	// Admin serves metrics and health over HTTP; invalid turns it off.
+	Admin netip.AddrPort
+	// Control lists the control hosts, an odd number of at most MaxControl.
+	Control []netip.AddrPort
+	Keys    pollenkey.Files
+
+	LogLevel  LogLevel
+	LogFormat LogFormat
+
+	// Data is a control host's data folder.
+	Data string
+	// Election is the control hosts' election timeout, equal at all of them.
+	Election time.Duration
+
+	// Bind replaces the address part of each service address that a balancer
+	// listens on; invalid keeps it.
+	Bind netip.Addr
+
+	// Announce is where a backend server announces itself to its agent.
+	Announce netip.AddrPort
+	// Placement and Ramp name registered policies.
+	Placement string
+	Ramp      string
+	// DrainTime bounds how long a planned stop waits for open work.
+	DrainTime time.Duration
+}
+
+// MaxControl is the largest number of control hosts.
+const MaxControl = 7
+
+const (
+	minElection     = 50 * time.Millisecond
+	maxElection     = 10 * time.Second
+	defaultElection = 500 * time.Millisecond
+	defaultDrain    = 20 * time.Second
+	maxDrain        = 10 * time.Minute
+	maxPath         = 4096
+)
+
+// Load reads the settings file for the role.
+func Load(role Role, file string) (*Settings, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings")
+	}
+	return Read(role, file, text)
+}
+
+// Read parses and checks settings. The error lists every problem with its
+// line.
+func Read(role Role, file string, text []byte) (*Settings, error) {
+	report := &pollenyaml.Report{File: file}
+	root := pollenyaml.Parse(report, text)
+	if root == nil {
+		return nil, report.Err()
+	}
+	s := &Settings{
+		Role: role, LogLevel: LogInfo, LogFormat: LogText,
+		Election: defaultElection, DrainTime: defaultDrain,
+		Placement: pollenflow.Placements.Names()[0], Ramp: pollenadmission.Ramps.Names()[0],
+	}
+	allowed := s.readCommon(root)
+	switch role {
+	case RoleControl:
+		allowed = append(allowed, "data", "election")
+		pollenyaml.Required(root, "data", &s.Data, pollenyaml.Text(maxPath))
+		pollenyaml.Optional(root, "election", &s.Election, pollenyaml.Duration(minElection, maxElection))
+		if !slices.Contains(s.Control, s.Address) {
+			root.Problem("address", s.Address.String(), "one of the addresses of control")
+		}
+	case RoleBalancer:
+		allowed = append(allowed, "bind", "drain")
+		pollenyaml.Optional(root, "bind", &s.Bind, pollenyaml.Addr())
+		pollenyaml.Optional(root, "drain", &s.DrainTime, pollenyaml.Duration(0, maxDrain))
+	case RoleAgent:
+		allowed = append(allowed, "announce", "placement", "ramp", "drain")
+		pollenyaml.Required(root, "announce", &s.Announce, pollenyaml.AddrPort())
+		pollenyaml.Optional(root, "placement", &s.Placement, pollenyaml.Enum(pollenflow.Placements.Names()...))
+		pollenyaml.Optional(root, "ramp", &s.Ramp, pollenyaml.Enum(pollenadmission.Ramps.Names()...))
+		pollenyaml.Optional(root, "drain", &s.DrainTime, pollenyaml.Duration(0, maxDrain))
+	case RoleOperator:
+	}
+	root.Done(allowed...)
+	return s, report.Err()
+}
+
+func (s *Settings) readCommon(root *pollenyaml.Mapping) (allowed []string) {
+	allowed = []string{"control", "authority", "certificate", "key", "log-level", "log-format"}
+	pollenyaml.Scalars(root, "control", true, &s.Control, pollenyaml.AddrPort())
+	s.checkControl(root)
+	path := pollenyaml.Text(maxPath)
+	pollenyaml.Required(root, "authority", &s.Keys.Authority, path)
+	pollenyaml.Required(root, "certificate", &s.Keys.Certificate, path)
+	pollenyaml.Required(root, "key", &s.Keys.Key, path)
+	pollenyaml.Required(root, "datagram-keys", &s.Keys.Datagram, path)
+	pollenyaml.Optional(root, "log-level", &s.LogLevel, pollenyaml.Enum(LogDebug, LogInfo, LogWarn, LogError))
+	pollenyaml.Optional(root, "log-format", &s.LogFormat, pollenyaml.Enum(LogText, LogJSON))
+	allowed = append(allowed, "datagram-keys")
+	if s.Role == RoleOperator {
+		return allowed
+	}
+	pollenyaml.Required(root, "name", &s.Name, pollenyaml.Name[pollendocument.ServerName]())
+	pollenyaml.Required(root, "domain", &s.Domain, pollenyaml.Name[pollendocument.DomainName]())
+	pollenyaml.Required(root, "address", &s.Address, pollenyaml.AddrPort())
+	pollenyaml.Optional(root, "admin", &s.Admin, pollenyaml.AddrPort())
+	if s.Admin.IsValid() && s.Admin == s.Address {
+		root.Problem("admin", s.Admin.String(), "another address than the field address")
+	}
+	allowed = append(allowed, "name", "domain", "address", "admin")
+	if s.Role == RoleAgent {
+		pollenyaml.Optional(root, "caller-certificate", &s.Keys.CallerCertificate, path)
+		pollenyaml.Optional(root, "caller-key", &s.Keys.CallerKey, path)
+		if (s.Keys.CallerCertificate == "") != (s.Keys.CallerKey == "") {
+			root.Problem("caller-key", s.Keys.CallerKey, "caller-certificate and caller-key together or neither")
+		}
+		allowed = append(allowed, "caller-certificate", "caller-key")
+	}
+	return allowed
+}
+
+func (s *Settings) checkControl(root *pollenyaml.Mapping) {
+	seen := map[netip.AddrPort]bool{}
+	for _, a := range s.Control {
+		if seen[a] {
+			root.Problem("control", a.String(), "each address once")
+		}
+		seen[a] = true
+	}
+	if n := len(s.Control); n > MaxControl || n%2 == 0 {
+		words := make([]string, 0, n)
+		for _, a := range s.Control {
+			words = append(words, a.String())
+		}
+		root.Problem("control", strings.Join(words, ", "), "1, 3, 5 or 7 addresses")
+	}
+}
--- /dev/null
+++ b/pollensidecar/flow.go
@@ -0,0 +1,312 @@
+package pollensidecar
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"pollenstep.example/pollenstep/pollenagent"
+	"pollenstep.example/pollenstep/pollencall"
+	"pollenstep.example/pollenstep/pollendocument"
+	"pollenstep.example/pollenstep/pollenflow"
+	"pollenstep.example/pollenstep/pollenkernel"
+	"pollenstep.example/pollenstep/pollenmember"
+	"pollenstep.example/pollenstep/pollenmetric"
+	"pollenstep.example/pollenstep/pollenprocess"
+	"pollenstep.example/pollenstep/pollenview"
+	"pollenstep.example/pollenstep/pollenwire"
+)
+
+// relay is the socket of one flow towards the backend server.
+type relay struct {
+	conn *net.UDPConn
+	key  pollenflow.Key
+}
+
+// takePacket decides about a caller's packet and carries the decision out.
+func (a *Sidecar) takePacket(h *pollenwire.Header, from netip.AddrPort, buffer []byte, size int) {
+	now := time.Now()
+	a.base.Metrics.Count(pollenmetric.EventPacketIn, 1)
+	a.membership.Lock()
+	defer a.membership.Unlock()
+	if h.Revision > a.membership.View().Revision {
+		a.membership.StepLocked(now, pollenmember.RevisionHeard{From: from, Revision: h.Revision})
+	}
+	if a.flows == nil || !a.restored {
+		a.base.Metrics.Refused(pollenkernel.RefusalNotReady)
+		return
+	}
+	p := pollenagent.Packet{
+		Key: h.Caller, Service: h.Service, Target: h.Target, From: from, Balancer: h.Balancer,
+		Revision: h.Revision, Opens: h.Opens, Assigned: h.Assigned,
+		Search: h.Search, SearchIndex: h.SearchIndex, Hops: h.Hops,
+	}
+	d := a.flows.Decide(now, &p)
+	switch d.Kind {
+	case pollenagent.DecisionDeliver:
+		a.deliver(d, buffer[pollenwire.HeaderSize:pollenwire.HeaderSize+size])
+	case pollenagent.DecisionForward:
+		if d.Search {
+			a.base.Metrics.Retried(pollenkernel.RetrySearch)
+		}
+		next := *h
+		next.Target, next.Assigned, next.Search = d.Target, d.Assigned, d.Search
+		next.SearchIndex, next.Hops = d.SearchIndex, d.Hops
+		next.Revision = a.membership.View().Revision
+		a.base.Socket.SendInPlace(d.To, &next, buffer, size)
+	case pollenagent.DecisionDrop:
+		a.base.Metrics.Refused(d.Refusal)
+	}
+	if d.Tell.IsValid() {
+		registration := []pollenflow.Registration{{Key: h.Caller, Holder: a.self.Name, Gone: d.Decline}}
+		a.send(d.Tell, pollenwire.DatagramRegister, pollenwire.Marshal(&registration, pollenwire.MapRegistrations))
+	}
+}
+
+// deliver passes a packet to the backend server or to the agent's own front.
+// The lock is held.
+func (a *Sidecar) deliver(d pollenagent.Decision, payload []byte) {
+	key := d.Record.Key
+	if a.front != nil {
+		if d.New {
+			a.base.Metrics.Count(pollenmetric.EventFlowOpened, 1)
+		}
+		a.front.conn.push(payload, key)
+		return
+	}
+	r, ok := a.relays[key]
+	if !ok {
+		var err error
+		if r, err = a.openRelay(d.Record, d.Record.Port); err != nil {
+			a.base.Log.WithError(err).Error("relay socket cannot be opened")
+			a.flows.CloseEnded(key)
+			return
+		}
+		a.base.Metrics.Count(pollenmetric.EventFlowOpened, 1)
+	}
+	if _, err := r.conn.Write(payload); err != nil {
+		a.relayFailed(key, err)
+		return
+	}
+	a.base.Metrics.Count(pollenmetric.EventPacketOut, 1)
+}
+
+// openRelay opens the socket of a flow at the port, or at any when it is zero.
+// The lock is held.
+func (a *Sidecar) openRelay(record *pollenagent.Record, port uint16) (*relay, error) {
+	if !a.backend.datagrams.IsValid() {
+		return nil, errors.New("backend server has announced no datagram address")
+	}
+	local := net.UDPAddrFromAddrPort(netip.AddrPortFrom(a.base.Settings.Address.Addr(), port))
+	conn, err := net.DialUDP("udp", local, net.UDPAddrFromAddrPort(a.backend.datagrams))
+	if err != nil {
+		return nil, errors.Wrap(err, "open relay socket")
+	}
+	record.Port = conn.LocalAddr().(*net.UDPAddr).AddrPort().Port()
+	r := &relay{conn: conn, key: record.Key}
+	a.relays[record.Key] = r
+	go a.readRelay(r)
+	return r, nil
+}
+
+// readRelay passes the backend server's packets to the caller until the socket
+// is closed.
+func (a *Sidecar) readRelay(r *relay) {
+	buffer := make([]byte, pollenprocess.BufferSize)
+	room := buffer[pollenwire.HeaderSize : pollenwire.HeaderSize+pollenprocess.MaxPacket]
+	for {
+		n, err := r.conn.Read(room)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			a.membership.Lock()
+			a.relayFailed(r.key, err)
+			a.membership.Unlock()
+			continue
+		}
+		a.answer(r.key, buffer, n)
+	}
+}
+
+// answer passes a packet to the caller through a balancer. The payload lies in
+// the buffer from pollenwire.HeaderSize on.
+func (a *Sidecar) answer(key pollenflow.Key, buffer []byte, size int) {
+	a.base.Metrics.Count(pollenmetric.EventAnswerIn, 1)
+	a.membership.Lock()
+	if a.flows == nil {
+		a.membership.Unlock()
+		return
+	}
+	balancer, ok := a.flows.Answered(time.Now(), key)
+	h := pollenwire.Header{
+		Kind: pollenwire.DatagramAnswer, Service: pollenflow.DigestOf(a.self.Service),
+		Revision: a.membership.View().Revision, Caller: key,
+	}
+	a.membership.Unlock()
+	if !ok {
+		a.base.Metrics.Refused(pollenkernel.RefusalUnknownFlow)
+		return
+	}
+	a.base.Socket.SendInPlace(balancer, &h, buffer, size)
+	a.base.Metrics.Count(pollenmetric.EventAnswerOut, 1)
+}
+
+// relayFailed follows a refused packet. The lock is held.
+func (a *Sidecar) relayFailed(key pollenflow.Key, err error) {
+	if !errors.Is(err, syscall.ECONNREFUSED) || a.flows == nil {
+		return
+	}
+	if record, closed := a.flows.Failed(key); closed {
+		a.base.Metrics.Refused(pollenkernel.RefusalBackendFailed)
+		a.closeFlow(record)
+	}
+}
+
+// closeFlow ends the delivery of a flow. The lock is held.
+func (a *Sidecar) closeFlow(record *pollenagent.Record) {
+	a.base.Metrics.Count(pollenmetric.EventFlowClosed, 1)
+	if r, ok := a.relays[record.Key]; ok {
+		delete(a.relays, record.Key)
+		_ = r.conn.Close()
+	}
+}
+
+func (a *Sidecar) dropRelays() {
+	for key, r := range a.relays {
+		delete(a.relays, key)
+		_ = r.conn.Close()
+	}
+}
+
+func (a *Sidecar) takeRegistrations(_ *pollenwire.Header, _ netip.AddrPort, buffer []byte, size int) {
+	var registrations []pollenflow.Registration
+	payload := buffer[pollenwire.HeaderSize : pollenwire.HeaderSize+size]
+	if err := pollenwire.Unmarshal(payload, &registrations, pollenwire.MapRegistrations); err != nil {
+		a.base.Metrics.Refused(pollenkernel.RefusalMalformed)
+		return
+	}
+	a.membership.Lock()
+	defer a.membership.Unlock()
+	if a.flows != nil {
+		a.flows.Registered(time.Now(), registrations)
+	}
+}
+
+func (a *Sidecar) takeLoad(_ *pollenwire.Header, _ netip.AddrPort, buffer []byte, size int) {
+	var load pollenflow.Load
+	payload := buffer[pollenwire.HeaderSize : pollenwire.HeaderSize+size]
+	if err := pollenwire.Unmarshal(payload, &load, pollenwire.MapLoad); err != nil {
+		a.base.Metrics.Refused(pollenkernel.RefusalMalformed)
+		return
+	}
+	a.membership.Lock()
+	defer a.membership.Unlock()
+	if a.flows != nil {
+		a.flows.LoadHeard(time.Now(), load)
+	}
+}
+
+// restore takes back the flows of an earlier incarnation from the agents that
+// kept their records, and then announces the agent.
+func (a *Sidecar) restore(service pollendocument.ServiceName) {
+	ctx, cancel := context.WithTimeout(context.Background(), restoreBound)
+	defer cancel()
+	a.membership.WaitFor(ctx, func(view *pollenview.View) bool {
+		_, _, known := view.Document.Service(service)
+		return known && a.membership.Current()
+	})
+	kept := a.collectKept(ctx, service)
+	now := time.Now()
+	a.membership.Lock()
+	defer a.membership.Unlock()
+	if a.self.Service != service {
+		return
+	}
+	restored := int64(0)
+	for _, k := range kept.Records {
+		if a.restoreFlow(now, k) {
+			restored++
+		}
+	}
+	if restored > 0 {
+		a.base.Metrics.Count(pollenmetric.EventFlowRestored, restored)
+		a.base.Log.WithField("flows", restored).Info("flows of an earlier start taken back")
+	}
+	a.restored = true
+	a.announce(now)
+}
+
+// restoreBound bounds the time that a start spends on taking flows back.
+const restoreBound = 10 * time.Second
+
+func (a *Sidecar) restoreFlow(now time.Time, k pollenagent.KeptRecord) bool {
+	if k.Port == 0 {
+		return false
+	}
+	record := a.flows.Restore(now, k)
+	if record == nil {
+		return false
+	}
+	if _, err := a.openRelay(record, k.Port); err != nil {
+		a.base.Log.WithError(err).Warn("flow not taken back")
+		a.flows.CloseEnded(k.Key)
+		return false
+	}
+	return true
+}
+
+// collectKept asks every agent of the service and returns the records of the
+// latest incarnation.
+func (a *Sidecar) collectKept(ctx context.Context, service pollendocument.ServiceName) pollenagent.Kept {
+	a.membership.Lock()
+	peers := a.membership.View().Agents(service)
+	a.membership.Unlock()
+	query := pollenwire.Marshal(&pollenwire.KeptQuery{Name: a.self.Name, Service: service}, pollenwire.MapKeptQuery)
+	var mu sync.Mutex
+	var latest pollenagent.Kept
+	var group sync.WaitGroup
+	for _, m := range peers {
+		if m.Name == a.self.Name {
+			continue
+		}
+		group.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			answer, err := a.base.Client.Call(ctx, m.Address, pollencall.MethodKept, query)
+			var k pollenagent.Kept
+			if err != nil || len(answer) == 0 || pollenwire.Unmarshal(answer, &k, pollenwire.MapKept) != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if k.Incarnation > latest.Incarnation || k.Incarnation == latest.Incarnation && len(k.Records) > len(latest.Records) {
+				latest = k
+			}
+		})
+	}
+	group.Wait()
+	return latest
+}
+
+// handOver gives every record to the keepers before the process ends.
+func (a *Sidecar) handOver(ctx context.Context) {
+	a.membership.Lock()
+	kept := a.flows.Export()
+	keepers := a.flows.Keepers()
+	a.membership.Unlock()
+	if len(kept.Records) == 0 {
+		return
+	}
+	request := pollenwire.Marshal(&kept, pollenwire.MapKept)
+	for _, to := range keepers {
+		if _, err := a.base.Client.Call(ctx, to, pollencall.MethodKeep, request); err != nil {
+			a.base.Log.WithError(err).Warn("records not handed over")
+		}
+	}
+}
--- /dev/null
+++ b/pollenstore/frame.go
@@ -0,0 +1,55 @@
+package pollenstore
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+)
+
+// A frame is a header followed by a payload. The header holds the payload's
+// length, the payload's checksum and the header's own checksum, each in four
+// bytes.
+const headerSize = 12
+
+// maxPayload bounds a frame so that a damaged length is not believed.
+const maxPayload = 256 << 20
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// appendFrame appends the payload as a frame.
+func appendFrame(buffer, payload []byte) []byte {
+	start := len(buffer)
+	buffer = binary.BigEndian.AppendUint32(buffer, uint32(len(payload)))
+	buffer = binary.BigEndian.AppendUint32(buffer, crc32.Checksum(payload, castagnoli))
+	buffer = binary.BigEndian.AppendUint32(buffer, crc32.Checksum(buffer[start:], castagnoli))
+	return append(buffer, payload...)
+}
+
+// readFrame returns the payload at the start of the data and the size of its
+// frame; ok is false when there is no whole and sound frame.
+func readFrame(data []byte) (payload []byte, size int, ok bool) {
+	if len(data) < headerSize {
+		return nil, 0, false
+	}
+	if crc32.Checksum(data[:8], castagnoli) != binary.BigEndian.Uint32(data[8:]) {
+		return nil, 0, false
+	}
+	length := int(binary.BigEndian.Uint32(data))
+	if length > maxPayload || length > len(data)-headerSize {
+		return nil, 0, false
+	}
+	payload = data[headerSize : headerSize+length]
+	if crc32.Checksum(payload, castagnoli) != binary.BigEndian.Uint32(data[4:]) {
+		return nil, 0, false
+	}
+	return payload, headerSize + length, true
+}
+
+// soundFrameAfter reports whether a sound frame starts anywhere in the data.
+func soundFrameAfter(data []byte) bool {
+	for i := range data {
+		if _, _, ok := readFrame(data[i:]); ok {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pollenview/view.go
@@ -0,0 +1,180 @@
+// Package pollenview holds the state that every process shares: the committed
+// document, the members and the ledger groups, as a fold of committed commands.
+package pollenview
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+
+	"pollenstep.example/pollenstep/pollendocument"
+)
+
+// A Revision is the log index of the last command folded into a view. It never
+// goes down within the life of a process.
+type Revision uint64
+
+// An Incarnation tells one start of a process from every other start of it.
+type Incarnation uint64
+
+// A Role is the part that a member plays.
+type Role string
+
+// Roles of members.
+const (
+	RoleBalancer Role = "balancer"
+	RoleAgent    Role = "agent"
+)
+
+// A Member is a process that announced itself.
+type Member struct {
+	// Name is unique over all members.
+	Name        pollendocument.ServerName
+	Role        Role
+	Incarnation Incarnation
+	// Service is the service of an agent's backend server; empty for balancers.
+	Service pollendocument.ServiceName
+	Domain  pollendocument.DomainName
+	// Address takes datagrams over UDP and calls over TCP.
+	Address netip.AddrPort
+	// State is what the backend server announced of itself.
+	State pollendocument.ServerState
+}
+
+// A ReplicaRef names one incarnation of an agent as a ledger replica.
+type ReplicaRef struct {
+	Name        pollendocument.ServerName
+	Incarnation Incarnation
+}
+
+// A LedgerGroup is the set of agents that hold the claims of one service.
+type LedgerGroup struct {
+	// Epoch counts the changes of the group.
+	Epoch uint64
+	// Replicas has at most MaxLedgerReplicas entries.
+	Replicas []ReplicaRef
+	// Previous is the last group with replicas before this one.
+	Previous []ReplicaRef
+}
+
+// MaxLedgerReplicas is the size of a full ledger group.
+const MaxLedgerReplicas = 3
+
+// maxOutcomes bounds the submissions whose outcome is remembered.
+const maxOutcomes = 4096
+
+// A View is the shared state at one revision. It is not safe for concurrent
+// use.
+type View struct {
+	Revision Revision
+	Document pollendocument.Document
+	Members  map[pollendocument.ServerName]Member
+	Ledgers  map[pollendocument.ServiceName]LedgerGroup
+	// Outcomes holds the last submissions' outcomes, oldest first, at most
+	// maxOutcomes.
+	Outcomes []Outcome
+}
+
+// NewView returns a new empty View.
+func NewView() *View {
+	return &View{
+		Members: map[pollendocument.ServerName]Member{},
+		Ledgers: map[pollendocument.ServiceName]LedgerGroup{},
+	}
+}
+
+// Clone returns a copy that shares nothing that Apply changes.
+func (v *View) Clone() *View {
+	c := NewView()
+	c.Revision = v.Revision
+	for i := range v.Document.Sections {
+		c.Document.Sections = append(c.Document.Sections, v.Document.Sections[i].Clone())
+	}
+	for n, m := range v.Members {
+		c.Members[n] = m
+	}
+	for n, g := range v.Ledgers {
+		c.Ledgers[n] = g
+	}
+	c.Outcomes = slices.Clone(v.Outcomes)
+	return c
+}
+
+// DomainIn reports whether a failure domain is declared and takes traffic.
+func (v *View) DomainIn(name pollendocument.DomainName) bool {
+	s := v.Document.Section(pollendocument.DomainsTeam)
+	if s == nil {
+		return false
+	}
+	at, ok := slices.BinarySearchFunc(s.Domains, name, func(d pollendocument.Domain, n pollendocument.DomainName) int {
+		return cmp.Compare(d.Name, n)
+	})
+	return ok && s.Domains[at].State == pollendocument.DomainIn
+}
+
+// ServerSetting returns the operators' setting for a backend server, or the
+// default one.
+func (v *View) ServerSetting(name pollendocument.ServerName) pollendocument.Server {
+	for i := range v.Document.Sections {
+		s := &v.Document.Sections[i]
+		at, ok := slices.BinarySearchFunc(s.Servers, name, func(d pollendocument.Server, n pollendocument.ServerName) int {
+			return cmp.Compare(d.Name, n)
+		})
+		if ok {
+			return s.Servers[at]
+		}
+	}
+	return pollendocument.Server{
+		Name: name, State: pollendocument.ServerActive, Weight: pollendocument.DefaultWeight,
+	}
+}
+
+// TakesNewWork reports whether a member may be given new flows and requests.
+func (v *View) TakesNewWork(m Member) bool {
+	return m.Role == RoleAgent &&
+		m.State == pollendocument.ServerActive &&
+		v.DomainIn(m.Domain) &&
+		v.ServerSetting(m.Name).State == pollendocument.ServerActive
+}
+
+// Agents returns the agents of a service in failure domains that are in,
+// sorted by name.
+func (v *View) Agents(service pollendocument.ServiceName) []Member {
+	var agents []Member
+	for _, m := range v.Members {
+		if m.Role == RoleAgent && m.Service == service && v.DomainIn(m.Domain) {
+			agents = append(agents, m)
+		}
+	}
+	slices.SortFunc(agents, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return agents
+}
+
+// Balancers returns the balancers in failure domains that are in, sorted by
+// name.
+func (v *View) Balancers() []Member {
+	var balancers []Member
+	for _, m := range v.Members {
+		if m.Role == RoleBalancer && v.DomainIn(m.Domain) {
+			balancers = append(balancers, m)
+		}
+	}
+	slices.SortFunc(balancers, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return balancers
+}
+
+// Live reports whether the replica's incarnation is a member now.
+func (v *View) Live(r ReplicaRef) bool {
+	m, ok := v.Members[r.Name]
+	return ok && m.Incarnation == r.Incarnation
+}
+
+// Outcome returns the remembered outcome of a submission.
+func (v *View) Outcome(id string) (Outcome, bool) {
+	for i := range v.Outcomes {
+		if v.Outcomes[i].ID == id {
+			return v.Outcomes[i], true
+		}
+	}
+	return Outcome{}, false
+}
--- /dev/null
+++ b/pollenwire/agent.go
@@ -0,0 +1,101 @@
+package pollenwire
+
+import (
+	"pollenstep.example/pollenstep/pollenagent"
+	"pollenstep.example/pollenstep/pollenflow"
+	"pollenstep.example/pollenstep/pollenledger"
+)
+
+// MapLoad maps an agent's load.
+func MapLoad(c *Codec, l *pollenflow.Load) {
+	text(c, &l.Name)
+	unsigned(c, &l.Incarnation)
+	signed(c, &l.Running)
+	signed(c, &l.Waiting)
+	signed(c, &l.Limit)
+	signed(c, &l.Flows)
+	signed(c, &l.FlowLimit)
+}
+
+// MapRegistrations maps what a holder tells a home agent.
+func MapRegistrations(c *Codec, registrations *[]pollenflow.Registration) {
+	list(c, registrations, func(c *Codec, r *pollenflow.Registration) {
+		address(c, &r.Key)
+		text(c, &r.Holder)
+		boolean(c, &r.Gone)
+	})
+}
+
+// MapKept maps an agent's records given for safe keeping.
+func MapKept(c *Codec, k *pollenagent.Kept) {
+	text(c, &k.Name)
+	unsigned(c, &k.Incarnation)
+	text(c, &k.Service)
+	boolean(c, &k.Full)
+	list(c, &k.Records, func(c *Codec, r *pollenagent.KeptRecord) {
+		address(c, &r.Key)
+		port := uint32(r.Port)
+		unsigned(c, &port)
+		r.Port = uint16(port)
+		instant(c, &r.Seen)
+	})
+	list(c, &k.Removed, address)
+}
+
+// MapClaim maps a request for a claim.
+func MapClaim(c *Codec, r *pollenledger.Request) {
+	text(c, &r.Service)
+	text(c, &r.Key)
+	mapClaimID(c, &r.Claim)
+	unsigned(c, &r.Epoch)
+}
+
+func mapClaimID(c *Codec, id *pollenledger.ClaimID) {
+	text(c, &id.Agent)
+	unsigned(c, &id.Incarnation)
+	unsigned(c, &id.Sequence)
+}
+
+// MapClaimReply maps the answer to a request for a claim.
+func MapClaimReply(c *Codec, r *pollenledger.Reply) {
+	text(c, &r.Verdict)
+	unsigned(c, &r.Epoch)
+	MapAnswer(c, &r.Answer)
+}
+
+// MapAnswer maps a backend server's whole answer.
+func MapAnswer(c *Codec, a *pollenledger.Answer) {
+	signed(c, &a.Status)
+	list(c, &a.Header, func(c *Codec, h *pollenledger.HeaderField) {
+		text(c, &h.Name)
+		text(c, &h.Value)
+	})
+	blob(c, &a.Body)
+}
+
+// MapSettlement maps how a claim ended.
+func MapSettlement(c *Codec, s *pollenledger.Settlement) {
+	text(c, &s.Service)
+	text(c, &s.Key)
+	mapClaimID(c, &s.Claim)
+	text(c, &s.State)
+	MapAnswer(c, &s.Answer)
+}
+
+// MapSyncRequest maps a replica's question for claims.
+func MapSyncRequest(c *Codec, r *pollenledger.SyncRequest) {
+	text(c, &r.Service)
+	unsigned(c, &r.Epoch)
+}
+
+// MapSyncReply maps the claims of a replica.
+func MapSyncReply(c *Codec, r *pollenledger.SyncReply) {
+	boolean(c, &r.OK)
+	list(c, &r.Entries, func(c *Codec, e *pollenledger.Entry) {
+		text(c, &e.Key)
+		mapClaimID(c, &e.Claim)
+		text(c, &e.State)
+		MapAnswer(c, &e.Answer)
+		instant(c, &e.Claimed)
+	})
+}
--- /dev/null
+++ b/pollenwire/view.go
@@ -0,0 +1,172 @@
+package pollenwire
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"pollenstep.example/pollenstep/pollendocument"
+	"pollenstep.example/pollenstep/pollenview"
+)
+
+// MapView maps a whole view.
+func MapView(c *Codec, v *pollenview.View) {
+	unsigned(c, &v.Revision)
+	list(c, &v.Document.Sections, MapSection)
+	mapMembers(c, v)
+	mapLedgers(c, v)
+	list(c, &v.Outcomes, MapOutcome)
+}
+
+func mapMembers(c *Codec, v *pollenview.View) {
+	members := slices.SortedFunc(maps.Values(v.Members), func(a, b pollenview.Member) int {
+		return cmp.Compare(a.Name, b.Name)
+	})
+	list(c, &members, MapMember)
+	if !c.decoding() {
+		return
+	}
+	v.Members = make(map[pollendocument.ServerName]pollenview.Member, len(members))
+	for _, m := range members {
+		v.Members[m.Name] = m
+	}
+}
+
+// ledger pairs a service with its group for mapping.
+type ledger struct {
+	service pollendocument.ServiceName
+	group   pollenview.LedgerGroup
+}
+
+func mapLedgers(c *Codec, v *pollenview.View) {
+	var ledgers []ledger
+	for _, name := range slices.Sorted(maps.Keys(v.Ledgers)) {
+		ledgers = append(ledgers, ledger{service: name, group: v.Ledgers[name]})
+	}
+	list(c, &ledgers, func(c *Codec, l *ledger) {
+		text(c, &l.service)
+		unsigned(c, &l.group.Epoch)
+		list(c, &l.group.Replicas, MapReplicaRef)
+		list(c, &l.group.Previous, MapReplicaRef)
+	})
+	if !c.decoding() {
+		return
+	}
+	v.Ledgers = make(map[pollendocument.ServiceName]pollenview.LedgerGroup, len(ledgers))
+	for _, l := range ledgers {
+		v.Ledgers[l.service] = l.group
+	}
+}
+
+// MapMember maps one member.
+func MapMember(c *Codec, m *pollenview.Member) {
+	text(c, &m.Name)
+	text(c, &m.Role)
+	unsigned(c, &m.Incarnation)
+	text(c, &m.Service)
+	text(c, &m.Domain)
+	address(c, &m.Address)
+	text(c, &m.State)
+}
+
+// MapReplicaRef maps the name of one incarnation.
+func MapReplicaRef(c *Codec, r *pollenview.ReplicaRef) {
+	text(c, &r.Name)
+	unsigned(c, &r.Incarnation)
+}
+
+// MapSection maps one team's section.
+func MapSection(c *Codec, s *pollendocument.Section) {
+	text(c, &s.Team)
+	unsigned(c, &s.Version)
+	list(c, &s.Domains, func(c *Codec, d *pollendocument.Domain) {
+		text(c, &d.Name)
+		text(c, &d.State)
+	})
+	list(c, &s.Services, mapService)
+	list(c, &s.Servers, func(c *Codec, b *pollendocument.Server) {
+		text(c, &b.Name)
+		text(c, &b.State)
+		signed(c, &b.Weight)
+	})
+}
+
+func mapService(c *Codec, s *pollendocument.Service) {
+	text(c, &s.Name)
+	address(c, &s.Address)
+	text(c, &s.Delivery)
+	signed(c, &s.Slots)
+	signed(c, &s.Connections)
+	signed(c, &s.Cold)
+	signed(c, &s.Queue)
+	duration(c, &s.Deadline)
+	duration(c, &s.Retention)
+	duration(c, &s.Idle)
+}
+
+// MapCommand maps one committed command.
+func MapCommand(c *Codec, m *pollenview.Command) {
+	text(c, &m.Kind)
+	MapSubmission(c, &m.Submission)
+	list(c, &m.Joins, MapMember)
+	list(c, &m.Leaves, MapReplicaRef)
+	list(c, &m.Ledgers, func(c *Codec, l *pollenview.LedgerChange) {
+		text(c, &l.Service)
+		unsigned(c, &l.Epoch)
+		list(c, &l.Replicas, MapReplicaRef)
+	})
+}
+
+// MapSubmission maps an operator's change.
+func MapSubmission(c *Codec, s *pollenview.Submission) {
+	text(c, &s.ID)
+	text(c, &s.By)
+	list(c, &s.Changes, func(c *Codec, d *pollenview.SectionChange) {
+		text(c, &d.Team)
+		unsigned(c, &d.Base)
+		MapSection(c, &d.Upserts)
+		list(c, &d.Removals, text[string])
+	})
+}
+
+// MapOutcome maps the answer to a submission.
+func MapOutcome(c *Codec, o *pollenview.Outcome) {
+	text(c, &o.ID)
+	text(c, &o.By)
+	text(c, &o.State)
+	unsigned(c, &o.Revision)
+	list(c, &o.Winners, func(c *Codec, w *pollenview.Winner) {
+		text(c, &w.Team)
+		unsigned(c, &w.Version)
+		text(c, &w.Hash)
+		text(c, &w.By)
+		list(c, &w.Fields, text[string])
+	})
+	text(c, &o.Faults)
+}
+
+// A ControlCodec implements pollencontrol.Codec.
+type ControlCodec struct{}
+
+// EncodeCommand implements pollencontrol.Codec.
+func (ControlCodec) EncodeCommand(m *pollenview.Command) []byte { return Marshal(m, MapCommand) }
+
+// DecodeCommand implements pollencontrol.Codec.
+func (ControlCodec) DecodeCommand(data []byte) (pollenview.Command, error) {
+	var m pollenview.Command
+	err := Unmarshal(data, &m, MapCommand)
+	return m, err
+}
+
+// EncodeView implements pollencontrol.Codec.
+func (ControlCodec) EncodeView(v *pollenview.View) []byte { return Marshal(v, MapView) }
+
+// DecodeView implements pollencontrol.Codec.
+func (ControlCodec) DecodeView(data []byte) (*pollenview.View, error) {
+	v := pollenview.NewView()
+	err := Unmarshal(data, v, MapView)
+	return v, err
+}
+
+// UpdateSize implements pollencontrol.Codec.
+func (ControlCodec) UpdateSize(u *pollenview.Update) int { return len(Marshal(u, MapUpdate)) }
--- /dev/null
+++ b/pollenyaml/mapping.go
@@ -0,0 +1,349 @@
+// Package pollenyaml reads checked YAML: every problem is reported with its
+// file, line, field, value and what is allowed, and reading goes on after a
+// problem so that one run reports them all.
+package pollenyaml
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// maxDocumentBytes bounds the size of a file that Parse accepts.
+const maxDocumentBytes = 16 << 20
+
+// A Problem is one fault in a file.
+type Problem struct {
+	File    string
+	Line    int
+	Field   string
+	Value   string
+	Allowed string
+}
+
+// Error returns the problem on one line.
+func (p Problem) Error() string {
+	return fmt.Sprintf("%s:%d: field %q: value %q: allowed: %s", p.File, p.Line, p.Field, p.Value, p.Allowed)
+}
+
+// A Report collects the problems of one file.
+type Report struct {
+	File     string
+	Problems []Problem
+}
+
+// Add appends a problem.
+func (r *Report) Add(line int, field, value, allowed string) {
+	r.Problems = append(r.Problems, Problem{
+		File: r.File, Line: line, Field: field, Value: value, Allowed: allowed,
+	})
+}
+
+// Err returns nil when there is no problem, else an error listing them all,
+// one a line.
+func (r *Report) Err() error {
+	if len(r.Problems) == 0 {
+		return nil
+	}
+	return &ReportError{Problems: r.Problems}
+}
+
+// A ReportError is the error form of a Report that has problems.
+type ReportError struct {
+	// Problems is not empty.
+	Problems []Problem
+}
+
+// Error returns one line for each problem.
+func (e *ReportError) Error() string {
+	lines := make([]string, 0, len(e.Problems))
+	for _, p := range e.Problems {
+		lines = append(lines, p.Error())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// A Mapping reads the fields of one YAML mapping. Fields that were never asked
+// for are reported as unknown by Done.
+type Mapping struct {
+	report *Report
+	path   string
+	line   int
+	// fields holds the values not yet read, by name.
+	fields map[string]*yaml.Node
+	// order holds every name in file order.
+	order []string
+}
+
+// Parse returns the root mapping of a YAML text. It returns nil when the text
+// is not a mapping; the problem is then in the report.
+func Parse(report *Report, text []byte) *Mapping {
+	if len(text) > maxDocumentBytes {
+		report.Add(1, "", strconv.Itoa(len(text))+" bytes", "at most 16 MiB")
+		return nil
+	}
+	var node yaml.Node
+	if err := yaml.Unmarshal(text, &node); err != nil {
+		report.Add(1, "", err.Error(), "valid YAML")
+		return nil
+	}
+	if len(node.Content) == 0 {
+		report.Add(1, "", "", "a mapping")
+		return nil
+	}
+	return newMapping(report, "", node.Content[0])
+}
+
+func newMapping(report *Report, path string, node *yaml.Node) *Mapping {
+	if node.Kind != yaml.MappingNode {
+		report.Add(node.Line, path, nodeText(node), "a mapping")
+		return nil
+	}
+	m := &Mapping{report: report, path: path, line: node.Line, fields: map[string]*yaml.Node{}}
+	for i := 0; i+1 < len(node.Content); i += 2 {
+		name := node.Content[i].Value
+		if _, ok := m.fields[name]; ok {
+			report.Add(node.Content[i].Line, m.join(name), name, "each field once")
+			continue
+		}
+		m.fields[name] = node.Content[i+1]
+		m.order = append(m.order, name)
+	}
+	return m
+}
+
+func nodeText(node *yaml.Node) string {
+	if node.Kind == yaml.ScalarNode {
+		return node.Value
+	}
+	return map[yaml.Kind]string{
+		yaml.MappingNode: "a mapping", yaml.SequenceNode: "a list", yaml.AliasNode: "an alias",
+	}[node.Kind]
+}
+
+func (m *Mapping) join(name string) string {
+	if m.path == "" {
+		return name
+	}
+	return m.path + "." + name
+}
+
+// Line returns the line on which the mapping starts.
+func (m *Mapping) Line() int { return m.line }
+
+// Problem reports a fault of the named field.
+func (m *Mapping) Problem(name, value, allowed string) {
+	m.report.Add(m.line, m.join(name), value, allowed)
+}
+
+// Done reports every field that was never read, naming the allowed ones.
+func (m *Mapping) Done(allowed ...string) {
+	for _, name := range m.order {
+		node, ok := m.fields[name]
+		if !ok {
+			continue
+		}
+		m.report.Add(node.Line, m.join(name), nodeText(node), "one of the fields "+strings.Join(allowed, ", "))
+	}
+}
+
+// Has reports whether the field is present and not yet read.
+func (m *Mapping) Has(name string) bool {
+	_, ok := m.fields[name]
+	return ok
+}
+
+// scalar takes a field; ok is false when it is absent or not a scalar.
+func (m *Mapping) scalar(name, allowed string, required bool) (node *yaml.Node, ok bool) {
+	node, ok = m.fields[name]
+	delete(m.fields, name)
+	if !ok {
+		if required {
+			m.report.Add(m.line, m.join(name), "", "required: "+allowed)
+		}
+		return nil, false
+	}
+	if node.Kind != yaml.ScalarNode {
+		m.report.Add(node.Line, m.join(name), nodeText(node), allowed)
+		return nil, false
+	}
+	return node, true
+}
+
+// A Field describes how one scalar is read.
+type Field[T any] struct {
+	// Allowed completes the sentence "allowed: …".
+	Allowed string
+	// Parse returns false when the text is not allowed.
+	Parse func(text string) (T, bool)
+}
+
+// Required reads a scalar that must be present.
+func Required[T any](m *Mapping, name string, target *T, field Field[T]) {
+	read(m, name, target, field, true)
+}
+
+// Optional reads a scalar and leaves the target alone when it is absent.
+func Optional[T any](m *Mapping, name string, target *T, field Field[T]) {
+	read(m, name, target, field, false)
+}
+
+func read[T any](m *Mapping, name string, target *T, field Field[T], required bool) {
+	node, ok := m.scalar(name, field.Allowed, required)
+	if !ok {
+		return
+	}
+	value, ok := field.Parse(node.Value)
+	if !ok {
+		m.report.Add(node.Line, m.join(name), node.Value, field.Allowed)
+		return
+	}
+	*target = value
+}
+
+// List calls read with each mapping of the named list, in order.
+func (m *Mapping) List(name string, required bool, read func(m *Mapping)) {
+	node, ok := m.fields[name]
+	delete(m.fields, name)
+	if !ok {
+		if required {
+			m.report.Add(m.line, m.join(name), "", "required: a list of mappings")
+		}
+		return
+	}
+	if node.Kind != yaml.SequenceNode {
+		m.report.Add(node.Line, m.join(name), nodeText(node), "a list of mappings")
+		return
+	}
+	for i, item := range node.Content {
+		if child := newMapping(m.report, fmt.Sprintf("%s[%d]", m.join(name), i), item); child != nil {
+			read(child)
+		}
+	}
+}
+
+// Scalars reads a list of scalars.
+func Scalars[T any](m *Mapping, name string, required bool, target *[]T, field Field[T]) {
+	node, ok := m.fields[name]
+	delete(m.fields, name)
+	if !ok {
+		if required {
+			m.report.Add(m.line, m.join(name), "", "required: a list, each "+field.Allowed)
+		}
+		return
+	}
+	if node.Kind != yaml.SequenceNode {
+		m.report.Add(node.Line, m.join(name), nodeText(node), "a list, each "+field.Allowed)
+		return
+	}
+	for i, item := range node.Content {
+		value, ok := field.Parse(item.Value)
+		if item.Kind != yaml.ScalarNode || !ok {
+			m.report.Add(item.Line, fmt.Sprintf("%s[%d]", m.join(name), i), nodeText(item), field.Allowed)
+			continue
+		}
+		*target = append(*target, value)
+	}
+}
+
+// Name returns the field type of names: a lower-case letter, then letters,
+// digits and hyphens, 63 at most.
+func Name[T ~string]() Field[T] {
+	return Field[T]{
+		Allowed: "a name of 1 to 63 lower-case letters, digits and hyphens that starts with a letter",
+		Parse: func(text string) (T, bool) {
+			return T(text), validName(text)
+		},
+	}
+}
+
+func validName(text string) bool {
+	if text == "" || len(text) > 63 || text[0] < 'a' || text[0] > 'z' {
+		return false
+	}
+	for i := range len(text) {
+		c := text[i]
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' {
+			return false
+		}
+	}
+	return true
+}
+
+// Text returns the field type of free text of 1 to limit bytes.
+func Text(limit int) Field[string] {
+	return Field[string]{
+		Allowed: fmt.Sprintf("a text of 1 to %d bytes", limit),
+		Parse:   func(text string) (string, bool) { return text, text != "" && len(text) <= limit },
+	}
+}
+
+// Integer returns the field type of whole numbers from low to high.
+func Integer[T ~int | ~uint64](low, high T) Field[T] {
+	return Field[T]{
+		Allowed: fmt.Sprintf("a whole number from %d to %d", low, high),
+		Parse: func(text string) (T, bool) {
+			n, err := strconv.ParseInt(text, 10, 64)
+			if err != nil || n < 0 {
+				return 0, false
+			}
+			return T(n), T(n) >= low && T(n) <= high
+		},
+	}
+}
+
+// Duration returns the field type of durations from low to high.
+func Duration(low, high time.Duration) Field[time.Duration] {
+	return Field[time.Duration]{
+		Allowed: fmt.Sprintf("a duration from %s to %s", low, high),
+		Parse: func(text string) (time.Duration, bool) {
+			d, err := time.ParseDuration(text)
+			return d, err == nil && d >= low && d <= high
+		},
+	}
+}
+
+// AddrPort returns the field type of an IP address with a port.
+func AddrPort() Field[netip.AddrPort] {
+	return Field[netip.AddrPort]{
+		Allowed: "an IP address and a port, such as 127.0.0.1:7000",
+		Parse: func(text string) (netip.AddrPort, bool) {
+			a, err := netip.ParseAddrPort(text)
+			return a, err == nil && a.Port() != 0
+		},
+	}
+}
+
+// Addr returns the field type of an IP address.
+func Addr() Field[netip.Addr] {
+	return Field[netip.Addr]{
+		Allowed: "an IP address, such as 127.0.0.1",
+		Parse: func(text string) (netip.Addr, bool) {
+			a, err := netip.ParseAddr(text)
+			return a, err == nil
+		},
+	}
+}
+
+// Enum returns the field type of a fixed set of words.
+func Enum[T ~string](values ...T) Field[T] {
+	words := make([]string, 0, len(values))
+	for _, v := range values {
+		words = append(words, string(v))
+	}
+	return Field[T]{
+		Allowed: "one of " + strings.Join(words, ", "),
+		Parse: func(text string) (T, bool) {
+			for _, v := range values {
+				if string(v) == text {
+					return v, true
+				}
+			}
+			return "", false
+		},
+	}
+}
