Add the stand-ins, the quickstart and stateless resets

Agents now share a stateless reset key and answer packets of unknown connections, and an agent in a failure domain taken out closes its connections.

--- /dev/null
+++ b/cmd/pollenquickstart/main.go
@@ -0,0 +1,65 @@
+// Command pollenquickstart runs a small system as processes, sends real
+// traffic through it while hosts, failure domains and backend servers come and
+// go, and says what callers and backend servers saw.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"pollenstep.example/pollenstep/pollendeployment"
+	"pollenstep.example/pollenstep/pollenstandin"
+)
+
+// limit bounds the whole run.
+const limit = 39 * time.Second
+
+func main() {
+	binary := flag.String("binary", "bin/pollenstep", "the pollenstep program")
+	keep := flag.String("keep", "", "folder for settings, data and logs; a temporary one is removed at the end")
+	flag.Parse()
+	tally, err := run(*binary, *keep)
+	switch {
+	case err != nil:
+		fmt.Printf("quickstart: FAIL %v\n", err)
+	case !tally.Sound():
+		fmt.Printf("quickstart: FAIL %s\n", tally.Line())
+	default:
+		fmt.Printf("quickstart: ok %s\n", tally.Line())
+		return
+	}
+	os.Exit(1)
+}
+
+func run(binary, keep string) (*pollenstandin.Tally, error) {
+	folder := keep
+	if folder == "" {
+		var err error
+		if folder, err = os.MkdirTemp("", "pollenstep-quickstart-"); err != nil {
+			return nil, err
+		}
+		defer func() { _ = os.RemoveAll(folder) }()
+	}
+	binary, err := filepath.Abs(binary)
+	if err != nil {
+		return nil, err
+	}
+	system, err := pollendeployment.New(pollendeployment.QuickstartLayout(), binary, folder)
+	if err != nil {
+		return nil, err
+	}
+	defer system.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	say := func(format string, args ...any) {
+		fmt.Printf("quickstart: "+format+"\n", args...)
+	}
+	if err := pollendeployment.Quickstart(ctx, system, say); err != nil {
+		return nil, err
+	}
+	return system.Tally, nil
+}
--- a/pollenagent/flows.go
+++ b/pollenagent/flows.go
@@ -459,6 +459,15 @@
 	if len(f.balancers) == 0 {
 		return r.Balancer, r.Balancer.IsValid()
 	}
+	return f.AnyBalancer()
+}
+
+// AnyBalancer returns a balancer for a packet that belongs to no held flow; ok
+// is false when there is none.
+func (f *Flows) AnyBalancer() (balancer netip.AddrPort, ok bool) {
+	if len(f.balancers) == 0 {
+		return netip.AddrPort{}, false
+	}
 	return f.balancers[f.random.IntN(len(f.balancers))].Address, true
 }
 
--- a/pollenagent/view.go
+++ b/pollenagent/view.go
@@ -47,6 +47,7 @@
 	f.view = view
 	service, _, known := view.Document.Service(f.config.Self.Service)
 	f.serving = known && view.DomainIn(f.config.Self.Domain)
+	f.balancers = view.Balancers()
 	if !f.serving {
 		return f.closeAll()
 	}
@@ -56,7 +57,6 @@
 		Slots: service.Slots, Cold: service.Cold, Connections: service.Connections,
 	})
 	f.agents = view.Agents(f.config.Self.Service)
-	f.balancers = view.Balancers()
 	self, member := view.Members[f.config.Self.Name]
 	f.draining = member && self.State == pollendocument.ServerDraining ||
 		view.ServerSetting(f.config.Self.Name).State == pollendocument.ServerDraining
--- /dev/null
+++ b/pollendeployment/layout.go
@@ -0,0 +1,127 @@
+// Package pollendeployment runs a whole small system as processes on loopback
+// addresses, with the stand-ins around it, for the quickstart and for tests
+// that need real processes.
+package pollendeployment
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+
+	"pollenstep.example/pollenstep/pollendocument"
+)
+
+// A Layout says which processes there are.
+type Layout struct {
+	// Network is the second number of every address, so that several systems
+	// can run side by side.
+	Network   int
+	Domains   []pollendocument.DomainName
+	Control   int
+	Balancers int
+	Services  []ServiceLayout
+}
+
+// A ServiceLayout describes a service and its backend servers.
+type ServiceLayout struct {
+	Service pollendocument.Service
+	Team    pollendocument.Team
+	Agents  int
+}
+
+// Third numbers of the addresses, by what they are for.
+const (
+	blockControl  = 1
+	blockBalancer = 2
+	blockAgent    = 3
+	blockBackend  = 4
+	blockCaller   = 8
+	blockService  = 9
+)
+
+// Ports.
+const (
+	portProcess  = 7000
+	portAdmin    = 7080
+	portAnnounce = 7090
+	portBackend  = 8000
+)
+
+func (l *Layout) address(block, number int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, byte(l.Network), byte(block), byte(number)})
+}
+
+// ServiceAddress returns the address of the service at a position.
+func (l *Layout) ServiceAddress(number int) netip.AddrPort {
+	const firstPort = 4430
+	return netip.AddrPortFrom(l.address(blockService, 1), uint16(firstPort+number))
+}
+
+// ControlAddress returns the address of a control host, counted from 1.
+func (l *Layout) ControlAddress(number int) netip.AddrPort {
+	return netip.AddrPortFrom(l.address(blockControl, number), portProcess)
+}
+
+func (l *Layout) domain(number int) pollendocument.DomainName {
+	return l.Domains[(number-1)%len(l.Domains)]
+}
+
+func (l *Layout) controlList() string {
+	words := make([]string, 0, l.Control)
+	for i := 1; i <= l.Control; i++ {
+		words = append(words, l.ControlAddress(i).String())
+	}
+	return "[" + strings.Join(words, ", ") + "]"
+}
+
+// agentPlace is one agent with its backend server.
+type agentPlace struct {
+	number  int
+	name    string
+	domain  pollendocument.DomainName
+	service ServiceLayout
+}
+
+func (l *Layout) agents() []agentPlace {
+	var places []agentPlace
+	for _, s := range l.Services {
+		for i := range s.Agents {
+			places = append(places, agentPlace{
+				number: len(places) + 1, name: fmt.Sprintf("%s-%d", s.Service.Name, i+1),
+				domain: l.domain(i + 1), service: s,
+			})
+		}
+	}
+	return places
+}
+
+// Document returns the document with the domains in the states given.
+func (l *Layout) Document(present *pollendocument.Document, states map[pollendocument.DomainName]pollendocument.DomainState) *pollendocument.Document {
+	version := func(team pollendocument.Team) uint64 {
+		if s := present.Section(team); s != nil {
+			return s.Version
+		}
+		return 0
+	}
+	d := &pollendocument.Document{}
+	domains := pollendocument.Section{Team: pollendocument.DomainsTeam, Version: version(pollendocument.DomainsTeam)}
+	for _, name := range l.Domains {
+		state := pollendocument.DomainIn
+		if s, ok := states[name]; ok {
+			state = s
+		}
+		domains.Domains = append(domains.Domains, pollendocument.Domain{Name: name, State: state})
+	}
+	domains.Sort()
+	d.Put(domains)
+	for _, s := range l.Services {
+		section := pollendocument.Section{Team: s.Team, Version: version(s.Team)}
+		if old := d.Section(s.Team); old != nil {
+			section = *old
+		}
+		section.Services = append(section.Services, s.Service)
+		section.Sort()
+		d.Put(section)
+	}
+	return d
+}
--- /dev/null
+++ b/pollendeployment/quickstart.go
@@ -0,0 +1,206 @@
+package pollendeployment
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"pollenstep.example/pollenstep/pollendocument"
+	"pollenstep.example/pollenstep/pollenstandin"
+)
+
+// QuickstartLayout returns the layout of the quickstart: the ring registry with
+// its feed and the label sheets, at the sizes of the first deployment.
+func QuickstartLayout() Layout {
+	l := Layout{
+		Network: 77, Domains: []pollendocument.DomainName{"celje-a", "celje-b", "velenje"}, Control: 3, Balancers: 2,
+	}
+	service := func(name string, delivery pollendocument.Delivery) pollendocument.Service {
+		const (
+			slots       = 5
+			connections = 2000
+			queue       = 16
+			deadline    = 5 * time.Second
+			retention   = 10 * time.Minute
+			idle        = 90 * time.Second
+		)
+		return pollendocument.Service{
+			Name: pollendocument.ServiceName(name), Address: l.ServiceAddress(len(l.Services)), Delivery: delivery,
+			Slots: slots, Connections: connections, Cold: 1, Queue: queue,
+			Deadline: deadline, Retention: retention, Idle: idle,
+		}
+	}
+	l.Services = append(l.Services, ServiceLayout{Service: service("rings", pollendocument.DeliveryHTTP), Team: "registry", Agents: 4})
+	l.Services = append(l.Services, ServiceLayout{Service: service("feed", pollendocument.DeliveryRelay), Team: "registry", Agents: 3})
+	l.Services = append(l.Services, ServiceLayout{Service: service("sheets", pollendocument.DeliveryHTTP), Team: "labels", Agents: 3})
+	return l
+}
+
+// Parameters of the quickstart's traffic.
+const (
+	feedCount        = 12
+	feedSilence      = 4 * time.Second
+	registerInterval = 40 * time.Millisecond
+	downloadInterval = 120 * time.Millisecond
+	againShare       = 0.2
+	callerCount      = 6
+	stopBound        = 20 * time.Second
+)
+
+// outDomain is the failure domain that is taken out and brought back.
+const outDomain = pollendocument.DomainName("velenje")
+
+// Quickstart starts the system, sends traffic and changes things meanwhile.
+// What callers and backend servers saw is in the system's tally.
+func Quickstart(ctx context.Context, s *System, say func(format string, args ...any)) error {
+	if err := s.StartAll(ctx); err != nil {
+		return err
+	}
+	say("%d control hosts, %d balancers, %d agents are serving", s.Layout.Control, s.Layout.Balancers, len(s.Layout.agents()))
+	feeds, err := s.openFeeds(ctx)
+	if err != nil {
+		return err
+	}
+	say("%d feeds are open", len(feeds))
+	traffic, stopTraffic := context.WithCancel(ctx)
+	var group sync.WaitGroup
+	s.startTraffic(traffic, ctx, &group)
+	err = s.disturb(ctx, say)
+	stopTraffic()
+	group.Wait()
+	s.judgeFeeds(feeds, say)
+	for _, f := range feeds {
+		f.Close()
+	}
+	return err
+}
+
+func (s *System) openFeeds(ctx context.Context) ([]*pollenstandin.Feed, error) {
+	address := s.service("feed").Service.Address
+	var feeds []*pollenstandin.Feed
+	for i := range feedCount {
+		caller := pollenstandin.NewCaller(address, s.CallerTLS(), s.Tally)
+		s.Tally.Add(pollenstandin.CountRequests, 1)
+		f, err := caller.OpenFeed(ctx, fmt.Sprintf("/feed/club-%d", i))
+		if err != nil {
+			return nil, errors.Wrap(err, "open feed")
+		}
+		s.Tally.Add(pollenstandin.CountAnswered, 1)
+		feeds = append(feeds, f)
+	}
+	return feeds, nil
+}
+
+func (s *System) service(name pollendocument.ServiceName) ServiceLayout {
+	for _, l := range s.Layout.Services {
+		if l.Service.Name == name {
+			return l
+		}
+	}
+	return ServiceLayout{}
+}
+
+// startTraffic sends registrations and downloads until the traffic context
+// ends; what is under way then still runs.
+func (s *System) startTraffic(traffic, run context.Context, group *sync.WaitGroup) {
+	every := func(interval time.Duration, service pollendocument.ServiceName, send func(c *pollenstandin.Caller, n int)) {
+		callers := make([]*pollenstandin.Caller, callerCount)
+		for i := range callers {
+			callers[i] = pollenstandin.NewCaller(s.service(service).Service.Address, s.CallerTLS(), s.Tally)
+		}
+		group.Go(func() {
+			var inner sync.WaitGroup
+			for n := 0; traffic.Err() == nil; n++ {
+				inner.Go(func() { send(callers[n%len(callers)], n) })
+				time.Sleep(interval)
+			}
+			inner.Wait()
+			for _, c := range callers {
+				c.Close()
+			}
+		})
+	}
+	every(registerInterval, "rings", func(c *pollenstandin.Caller, n int) {
+		c.Register(run, fmt.Sprintf("/rings/%d", n), fmt.Sprintf("ring-%d", n), rand.Float64() < againShare)
+	})
+	every(downloadInterval, "sheets", func(c *pollenstandin.Caller, n int) {
+		c.Download(run, fmt.Sprintf("/sheets/%d", n))
+	})
+}
+
+// disturb changes things one after the other.
+func (s *System) disturb(ctx context.Context, say func(format string, args ...any)) error {
+	const pause = 1500 * time.Millisecond
+	steps := []struct {
+		what string
+		do   func() error
+	}{
+		{"backend server rings-4 drains", func() error { s.Backends["rings-4"].Drain(); return nil }},
+		{"balancer-1 restarts", func() error { return s.restart("balancer", "balancer-1") }},
+		{"agent feed-1 restarts", func() error { return s.restart("agent", "feed-1") }},
+		{"agent rings-2 restarts", func() error { return s.restart("agent", "rings-2") }},
+		{"failure domain " + string(outDomain) + " is taken out", func() error { return s.setDomain(ctx, pollendocument.DomainOut) }},
+		{"failure domain " + string(outDomain) + " comes back", func() error {
+			time.Sleep(pause)
+			return s.setDomain(ctx, pollendocument.DomainIn)
+		}},
+	}
+	for _, step := range steps {
+		time.Sleep(pause)
+		began := time.Now()
+		if err := step.do(); err != nil {
+			return errors.Wrap(err, step.what)
+		}
+		say("%s (%s)", step.what, time.Since(began).Round(time.Millisecond))
+	}
+	time.Sleep(pause)
+	return nil
+}
+
+func (s *System) restart(role, name string) error {
+	if err := s.Stop(name, syscall.SIGTERM, stopBound); err != nil {
+		return err
+	}
+	return s.Start(role, name)
+}
+
+func (s *System) setDomain(ctx context.Context, state pollendocument.DomainState) error {
+	present, err := s.Present(ctx)
+	if err != nil {
+		return err
+	}
+	states := map[pollendocument.DomainName]pollendocument.DomainState{outDomain: state}
+	text, code, err := s.Submit(ctx, s.Layout.Document(present, states))
+	if err != nil || code != 0 {
+		return errors.Errorf("submit: exit %d: %v: %s", code, err, text)
+	}
+	return nil
+}
+
+// judgeFeeds counts the feeds that did not survive. Those whose backend server
+// is in the failure domain that was taken out are given up, not broken.
+func (s *System) judgeFeeds(feeds []*pollenstandin.Feed, say func(format string, args ...any)) {
+	domains := map[string]pollendocument.DomainName{}
+	for _, a := range s.Layout.agents() {
+		domains[a.name] = a.domain
+	}
+	for i, f := range feeds {
+		if domains[f.Server()] == outDomain {
+			s.Tally.Add(pollenstandin.CountGivenUp, 1)
+			continue
+		}
+		if fault := f.Fault(time.Now(), feedSilence); fault != "" {
+			s.Tally.Add(pollenstandin.CountBroken, 1)
+			say("feed %d from %s broke: %s", i, f.Server(), fault)
+		}
+	}
+	say("givenup=%d unknown=%d repeated=%d shed=%d coldoverrun=%d wronganswer=%d",
+		s.Tally.Get(pollenstandin.CountGivenUp), s.Tally.Get(pollenstandin.CountUnknown),
+		s.Tally.Get(pollenstandin.CountRepeated), s.Tally.Get(pollenstandin.CountShed),
+		s.Tally.Get(pollenstandin.CountColdOverrun), s.Tally.Get(pollenstandin.CountWrongAnswer))
+}
--- /dev/null
+++ b/pollendeployment/start.go
@@ -0,0 +1,120 @@
+package pollendeployment
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"pollenstep.example/pollenstep/pollendocument"
+	"pollenstep.example/pollenstep/pollenstandin"
+)
+
+// Parameters of the stand-in backend servers.
+const (
+	backendWork     = 20 * time.Millisecond
+	backendTick     = 200 * time.Millisecond
+	backendColdTime = 2 * time.Second
+	backendFallTime = 2 * time.Second
+)
+
+// StartAll starts every process and stand-in, submits the document and waits
+// until every agent takes work.
+func (s *System) StartAll(ctx context.Context) error {
+	if err := s.StartControl(ctx); err != nil {
+		return err
+	}
+	for i := 1; i <= s.Layout.Balancers; i++ {
+		if err := s.Start("balancer", fmt.Sprintf("balancer-%d", i)); err != nil {
+			return err
+		}
+	}
+	for _, a := range s.Layout.agents() {
+		if err := s.Start("agent", a.name); err != nil {
+			return err
+		}
+		if err := s.startBackend(a); err != nil {
+			return err
+		}
+	}
+	text, code, err := s.Submit(ctx, s.Layout.Document(&pollendocument.Document{}, nil))
+	if err != nil || code != 0 {
+		return errors.Errorf("submit: exit %d: %v: %s", code, err, text)
+	}
+	if err := s.startFabric(); err != nil {
+		return err
+	}
+	return s.waitServing(ctx)
+}
+
+// StartControl founds the system on the first control host and starts the
+// others.
+func (s *System) StartControl(ctx context.Context) error {
+	for i := 1; i <= s.Layout.Control; i++ {
+		var flags []string
+		if i == 1 {
+			flags = []string{"--found"}
+		}
+		if err := s.Start("control", fmt.Sprintf("control-%d", i), flags...); err != nil {
+			return err
+		}
+	}
+	for i := 1; i <= s.Layout.Control; i++ {
+		admin := netip.AddrPortFrom(s.Layout.address(blockControl, i), portAdmin)
+		if err := s.WaitReady(ctx, admin); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *System) startBackend(a agentPlace) error {
+	ip := s.Layout.address(blockBackend, a.number)
+	config := pollenstandin.BackendConfig{
+		Name: a.name, Service: string(a.service.Service.Name), Prefix: "/" + string(a.service.Service.Name) + "/",
+		Announce: netip.AddrPortFrom(s.Layout.address(blockAgent, a.number), portAnnounce),
+		Requests: netip.AddrPortFrom(ip, portBackend),
+		TLS:      s.server, Slots: a.service.Service.Slots, Cold: a.service.Service.Cold,
+		ColdTime: backendColdTime, FallTime: backendFallTime, Work: backendWork, Tick: backendTick, Tally: s.Tally,
+	}
+	if a.service.Service.Delivery == pollendocument.DeliveryRelay {
+		config.Datagrams = netip.AddrPortFrom(ip, portBackend)
+	}
+	b, err := pollenstandin.StartBackend(config)
+	if err != nil {
+		return errors.Wrapf(err, "start backend server %s", a.name)
+	}
+	s.Backends[a.name] = b
+	return nil
+}
+
+func (s *System) startFabric() error {
+	var services []netip.AddrPort
+	for _, l := range s.Layout.Services {
+		services = append(services, l.Service.Address)
+	}
+	var balancers []pollenstandin.Balancer
+	for i := 1; i <= s.Layout.Balancers; i++ {
+		ip := s.Layout.address(blockBalancer, i)
+		balancers = append(balancers, pollenstandin.Balancer{Bind: ip, Admin: netip.AddrPortFrom(ip, portAdmin)})
+	}
+	var err error
+	s.Fabric, err = pollenstandin.StartFabric(s.Layout.address(blockCaller, 1), services, balancers)
+	return err
+}
+
+// waitServing waits until every balancer is ready and the status names every
+// agent as active.
+func (s *System) waitServing(ctx context.Context) error {
+	const poll = 100 * time.Millisecond
+	for ctx.Err() == nil {
+		status, err := s.Status(ctx)
+		if err == nil && status.Active() >= s.Layout.Balancers+len(s.Layout.agents()) && s.Fabric.Ready() == s.Layout.Balancers {
+			return nil
+		}
+		time.Sleep(poll)
+	}
+	return errors.Wrap(ctx.Err(), "wait until every agent is active")
+}
--- /dev/null
+++ b/pollendeployment/status.go
@@ -0,0 +1,44 @@
+package pollendeployment
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+)
+
+// A Status is what the status verb prints, as far as it is used here.
+type Status struct {
+	Revision uint64         `json:"revision"`
+	Leader   string         `json:"leader"`
+	Members  []StatusMember `json:"members"`
+}
+
+// A StatusMember is one member of a Status.
+type StatusMember struct {
+	Name     string `json:"name"`
+	State    string `json:"state"`
+	Revision uint64 `json:"revision"`
+	Lag      uint64 `json:"lag"`
+}
+
+// Active returns the number of members that are active.
+func (s *Status) Active() int {
+	n := 0
+	for _, m := range s.Members {
+		if m.State == "active" {
+			n++
+		}
+	}
+	return n
+}
+
+// Status runs the status verb.
+func (s *System) Status(ctx context.Context) (*Status, error) {
+	text, code, err := s.Operate(ctx, "status", "--output", "json", "--wait", "2s")
+	if err != nil || code != 0 {
+		return nil, errors.Errorf("status: exit %d: %v: %s", code, err, text)
+	}
+	var status Status
+	return &status, json.Unmarshal([]byte(text), &status)
+}
--- /dev/null
+++ b/pollendeployment/system.go
@@ -0,0 +1,262 @@
+package pollendeployment
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"pollenstep.example/pollenstep/pollendocument"
+	"pollenstep.example/pollenstep/pollenkey"
+	"pollenstep.example/pollenstep/pollenstandin"
+)
+
+// A System is a running Layout.
+type System struct {
+	Layout Layout
+	Tally  *pollenstandin.Tally
+	Fabric *pollenstandin.Fabric
+	// Backends holds the stand-in backend servers by agent name.
+	Backends map[string]*pollenstandin.Backend
+
+	binary    string
+	folder    string
+	output    *os.File
+	authority *x509.CertPool
+	server    *tls.Config
+
+	mu        sync.Mutex
+	processes map[string]*process
+}
+
+type process struct {
+	command *exec.Cmd
+	done    chan struct{}
+	err     error
+}
+
+// keyLife is how long the keys of a run are valid.
+const keyLife = 24 * time.Hour
+
+// New returns a new System that keeps its files in the folder and runs the
+// binary. Nothing is started yet.
+func New(layout Layout, binary, folder string) (*System, error) {
+	s := &System{
+		Layout: layout, Tally: pollenstandin.NewTally(), Backends: map[string]*pollenstandin.Backend{},
+		binary: binary, folder: folder, processes: map[string]*process{},
+	}
+	if err := pollenkey.Make(time.Now(), s.file("keys"), keyLife, nil, []netip.Addr{layout.ServiceAddress(0).Addr()}); err != nil {
+		return nil, err
+	}
+	var err error
+	if s.output, err = os.Create(s.file("processes.log")); err != nil {
+		return nil, err
+	}
+	pem, err := os.ReadFile(s.file("keys", pollenkey.AuthorityFile))
+	if err != nil {
+		return nil, err
+	}
+	s.authority = x509.NewCertPool()
+	s.authority.AppendCertsFromPEM(pem)
+	pair, err := tls.LoadX509KeyPair(s.file("keys", pollenkey.CallerCertificateFile), s.file("keys", pollenkey.CallerKeyFile))
+	if err != nil {
+		return nil, err
+	}
+	s.server = &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{pair}}
+	return s, s.writeSettings()
+}
+
+func (s *System) file(parts ...string) string {
+	return filepath.Join(append([]string{s.folder}, parts...)...)
+}
+
+func (s *System) writeSettings() error {
+	common := fmt.Sprintf("control: %s\nauthority: %s\ncertificate: %s\nkey: %s\ndatagram-keys: %s\n",
+		s.Layout.controlList(), s.file("keys", pollenkey.AuthorityFile), s.file("keys", pollenkey.CertificateFile),
+		s.file("keys", pollenkey.KeyFile), s.file("keys", pollenkey.DatagramFile))
+	write := func(name, text string) error {
+		return os.WriteFile(s.file(name+".yaml"), []byte(common+text), 0o600)
+	}
+	if err := write("operator", ""); err != nil {
+		return err
+	}
+	for i := 1; i <= s.Layout.Control; i++ {
+		name := fmt.Sprintf("control-%d", i)
+		text := s.process(name, s.Layout.domain(i), blockControl, i) + fmt.Sprintf("data: %s\n", s.file(name))
+		if err := write(name, text); err != nil {
+			return err
+		}
+	}
+	for i := 1; i <= s.Layout.Balancers; i++ {
+		name := fmt.Sprintf("balancer-%d", i)
+		text := s.process(name, s.Layout.domain(i), blockBalancer, i) +
+			fmt.Sprintf("bind: %s\n", s.Layout.address(blockBalancer, i))
+		if err := write(name, text); err != nil {
+			return err
+		}
+	}
+	for _, a := range s.Layout.agents() {
+		text := s.process(a.name, a.domain, blockAgent, a.number) +
+			fmt.Sprintf("announce: %s\n", netip.AddrPortFrom(s.Layout.address(blockAgent, a.number), portAnnounce))
+		if a.service.Service.Delivery == pollendocument.DeliveryHTTP {
+			text += fmt.Sprintf("caller-certificate: %s\ncaller-key: %s\n",
+				s.file("keys", pollenkey.CallerCertificateFile), s.file("keys", pollenkey.CallerKeyFile))
+		}
+		if err := write(a.name, text); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *System) process(name string, domain pollendocument.DomainName, block, number int) string {
+	ip := s.Layout.address(block, number)
+	return fmt.Sprintf("name: %s\ndomain: %s\naddress: %s\nadmin: %s\n",
+		name, domain, netip.AddrPortFrom(ip, portProcess), netip.AddrPortFrom(ip, portAdmin))
+}
+
+// Start runs a process of the role with the settings called name.
+func (s *System) Start(role, name string, flags ...string) error {
+	arguments := append([]string{role, "--settings", s.file(name + ".yaml")}, flags...)
+	command := exec.Command(s.binary, arguments...)
+	command.Stdout, command.Stderr = s.output, s.output
+	if err := command.Start(); err != nil {
+		return errors.Wrapf(err, "start %s", name)
+	}
+	p := &process{command: command, done: make(chan struct{})}
+	go func() {
+		p.err = command.Wait()
+		close(p.done)
+	}()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.processes[name] = p
+	return nil
+}
+
+// Signal sends a signal to the process.
+func (s *System) Signal(name string, signal syscall.Signal) error {
+	s.mu.Lock()
+	p := s.processes[name]
+	s.mu.Unlock()
+	if p == nil {
+		return errors.Errorf("process %s is not running", name)
+	}
+	return errors.Wrapf(p.command.Process.Signal(signal), "signal %s", name)
+}
+
+// Stop ends a process with the signal and waits for it.
+func (s *System) Stop(name string, signal syscall.Signal, bound time.Duration) error {
+	if err := s.Signal(name, signal); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	p := s.processes[name]
+	s.mu.Unlock()
+	select {
+	case <-p.done:
+	case <-time.After(bound):
+		return errors.Errorf("process %s did not end within %s", name, bound)
+	}
+	s.mu.Lock()
+	delete(s.processes, name)
+	s.mu.Unlock()
+	if signal == syscall.SIGTERM {
+		return errors.Wrapf(p.err, "planned stop of %s", name)
+	}
+	return nil
+}
+
+// Close ends everything that is running.
+func (s *System) Close() {
+	if s.Fabric != nil {
+		s.Fabric.Close()
+	}
+	s.mu.Lock()
+	running := make([]*process, 0, len(s.processes))
+	for _, p := range s.processes {
+		running = append(running, p)
+	}
+	s.processes = map[string]*process{}
+	s.mu.Unlock()
+	for _, p := range running {
+		_ = p.command.Process.Signal(syscall.SIGCONT)
+		_ = p.command.Process.Kill()
+	}
+	for _, p := range running {
+		<-p.done
+	}
+	for _, b := range s.Backends {
+		b.Close()
+	}
+	_ = s.output.Close()
+}
+
+// Operate runs an operator's verb and returns its output and exit code.
+func (s *System) Operate(ctx context.Context, arguments ...string) (output string, code int, err error) {
+	var buffer bytes.Buffer
+	command := exec.CommandContext(ctx, s.binary, arguments...)
+	command.Env = append(os.Environ(), "POLLENSTEP_SETTINGS="+s.file("operator.yaml"))
+	command.Stdout, command.Stderr = &buffer, &buffer
+	err = command.Run()
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		return buffer.String(), exit.ExitCode(), nil
+	}
+	return buffer.String(), 0, err
+}
+
+// Submit writes the document to a file and submits it.
+func (s *System) Submit(ctx context.Context, d *pollendocument.Document, flags ...string) (string, int, error) {
+	text, err := pollendocument.Write(d)
+	if err != nil {
+		return "", 0, err
+	}
+	file := s.file("document.yaml")
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		return "", 0, err
+	}
+	return s.Operate(ctx, append(append([]string{"submit", "--by", "quickstart"}, flags...), file)...)
+}
+
+// Present returns the document that is in force.
+func (s *System) Present(ctx context.Context) (*pollendocument.Document, error) {
+	text, code, err := s.Operate(ctx, "show")
+	if err != nil || code != 0 {
+		return nil, errors.Errorf("show: exit %d: %v: %s", code, err, text)
+	}
+	return pollendocument.Read("show", []byte(text))
+}
+
+// CallerTLS returns the TLS settings of callers.
+func (s *System) CallerTLS() *tls.Config {
+	return &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: s.authority}
+}
+
+// WaitReady waits until the admin address of a process says that it is ready.
+func (s *System) WaitReady(ctx context.Context, admin netip.AddrPort) error {
+	const poll = 50 * time.Millisecond
+	client := &http.Client{Timeout: time.Second}
+	for ctx.Err() == nil {
+		response, err := client.Get("http://" + admin.String() + "/readyz")
+		if err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		time.Sleep(poll)
+	}
+	return errors.Wrapf(ctx.Err(), "wait for %s", admin)
+}
--- a/pollensidecar/flow.go
+++ b/pollensidecar/flow.go
@@ -61,6 +61,11 @@
 		a.base.Socket.SendInPlace(d.To, &next, buffer, size)
 	case pollenagent.DecisionDrop:
 		a.base.Metrics.Refused(d.Refusal)
+		if a.front != nil && d.Refusal == pollenkernel.RefusalUnknownFlow {
+			// The front answers a packet of a connection that it does not know
+			// with a stateless reset, so that the caller connects anew.
+			a.front.conn.push(buffer[pollenwire.HeaderSize:pollenwire.HeaderSize+size], h.Caller)
+		}
 	}
 	if d.Tell.IsValid() {
 		registration := []pollenflow.Registration{{Key: h.Caller, Holder: a.self.Name, Gone: d.Decline}}
@@ -144,6 +149,9 @@
 		return
 	}
 	balancer, ok := a.flows.Answered(time.Now(), key)
+	if !ok && a.front != nil {
+		balancer, ok = a.flows.AnyBalancer()
+	}
 	h := pollenwire.Header{
 		Kind: pollenwire.DatagramAnswer, Service: pollenflow.DigestOf(a.self.Service),
 		Revision: a.membership.View().Revision, Caller: key,
--- a/pollensidecar/front.go
+++ b/pollensidecar/front.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/hmac"
+	"crypto/sha256"
 	"net"
 	"net/http"
 	"net/netip"
@@ -24,6 +26,44 @@
 	conn      *packetConn
 	transport *quic.Transport
 	server    *http3.Server
+
+	mu sync.Mutex
+	// open holds the connections that have not ended.
+	open map[*quic.Conn]struct{}
+}
+
+// closeNoError is the HTTP/3 error code H3_NO_ERROR of RFC 9114 section 8.1.
+const closeNoError = 0x100
+
+// closeConnections tells every caller that its connection ends here.
+func (f *front) closeConnections(why string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.open {
+		go func() { _ = c.CloseWithError(closeNoError, why) }()
+	}
+}
+
+func (f *front) add(c *quic.Conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.open[c] = struct{}{}
+}
+
+func (f *front) remove(c *quic.Conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.open, c)
+}
+
+// resetKey derives the key of stateless resets (RFC 9000 section 10.3) from the
+// datagram key, which all agents share, so that any agent can tell a caller
+// that its flow is gone.
+func resetKey(datagram []byte) *quic.StatelessResetKey {
+	mac := hmac.New(sha256.New, datagram)
+	_, _ = mac.Write([]byte("stateless reset"))
+	key := quic.StatelessResetKey(mac.Sum(nil))
+	return &key
 }
 
 // openFront starts the front when the service's delivery calls for one. The
@@ -34,7 +74,9 @@
 		return
 	}
 	conn := newPacketConn(a)
-	f := &front{conn: conn, transport: &quic.Transport{Conn: conn}}
+	f := &front{conn: conn, open: map[*quic.Conn]struct{}{}, transport: &quic.Transport{
+		Conn: conn, StatelessResetKey: resetKey(a.base.Ring.Datagram()[0]),
+	}}
 	const alive = 15 * time.Second
 	listener, err := f.transport.ListenEarly(a.base.Ring.Caller(http3.NextProtoH3), &quic.Config{
 		MaxIdleTimeout: service.Idle, KeepAlivePeriod: alive,
@@ -46,7 +88,11 @@
 	f.server = &http3.Server{
 		Handler: http.HandlerFunc(a.serveHTTP),
 		ConnContext: func(ctx context.Context, c *quic.Conn) context.Context {
-			context.AfterFunc(c.Context(), func() { a.flowEnded(c.RemoteAddr()) })
+			f.add(c)
+			context.AfterFunc(c.Context(), func() {
+				f.remove(c)
+				a.flowEnded(c.RemoteAddr())
+			})
 			return ctx
 		},
 	}
@@ -153,6 +199,12 @@
 	return nil
 }
 
+// SetReadBuffer does nothing; the queue has a fixed size.
+func (c *packetConn) SetReadBuffer(int) error { return nil }
+
+// SetWriteBuffer does nothing; packets are sent at once.
+func (c *packetConn) SetWriteBuffer(int) error { return nil }
+
 // LocalAddr implements net.PacketConn.
 func (c *packetConn) LocalAddr() net.Addr {
 	return net.UDPAddrFromAddrPort(c.agent.base.Settings.Address)
--- a/pollensidecar/sidecar.go
+++ b/pollensidecar/sidecar.go
@@ -167,7 +167,11 @@
 	if a.flows == nil {
 		return
 	}
+	served := a.flows.Serving()
 	a.act(a.flows.ChangeView(now, view))
+	if served && !a.flows.Serving() && a.front != nil {
+		a.front.closeConnections("failure domain is out")
+	}
 	a.stepRequests(now, pollenrequest.ViewChanged{View: view})
 	a.ledger.ChangeView(now, view)
 	a.announce(now)
--- /dev/null
+++ b/pollenstandin/backend.go
@@ -0,0 +1,259 @@
+// Package pollenstandin stands in for what the system meets: the fabric that
+// sprays packets over balancers, backend servers and callers. It is used by
+// the quickstart and by tests, never in production.
+package pollenstandin
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+)
+
+// A BackendConfig describes a stand-in backend server.
+type BackendConfig struct {
+	Name    string
+	Service string
+	// Prefix starts the path of every request that belongs here.
+	Prefix string
+	// Announce is the agent's address for announcements.
+	Announce netip.AddrPort
+	// Datagrams and Requests are the backend server's own addresses; the
+	// first is invalid for services with http delivery.
+	Datagrams netip.AddrPort
+	Requests  netip.AddrPort
+	TLS       *tls.Config
+	Slots     int
+	Cold      int
+	// ColdTime is how long a start is cold; more work than Cold then makes the
+	// backend server fall over for FallTime.
+	ColdTime time.Duration
+	FallTime time.Duration
+	// Service time of a request.
+	Work time.Duration
+	// Tick is the time between messages of a feed.
+	Tick  time.Duration
+	Tally *Tally
+}
+
+// A Backend is a running stand-in backend server.
+type Backend struct {
+	config BackendConfig
+	start  time.Time
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+
+	mu       sync.Mutex
+	running  int
+	fallen   time.Time
+	draining bool
+	feeds    int
+}
+
+// StartBackend returns a new Backend that serves and announces itself.
+func StartBackend(config BackendConfig) (*Backend, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	b := &Backend{config: config, start: time.Now(), cancel: cancel}
+	listener, err := net.Listen("tcp", config.Requests.String())
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	const headerTimeout = 5 * time.Second
+	server := &http.Server{Handler: http.HandlerFunc(b.serveRequest), ReadHeaderTimeout: headerTimeout}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	b.group.Go(func() { _ = server.Serve(listener) })
+	if config.Datagrams.IsValid() {
+		if err := b.serveFeeds(ctx); err != nil {
+			cancel()
+			return nil, err
+		}
+	}
+	b.group.Go(func() { b.announce(ctx) })
+	return b, nil
+}
+
+// Close stops the backend server.
+func (b *Backend) Close() {
+	b.cancel()
+	b.group.Wait()
+}
+
+// Drain announces that the backend server leaves.
+func (b *Backend) Drain() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.draining = true
+}
+
+// GoCold makes the backend server cold again without a word.
+func (b *Backend) GoCold() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.start = time.Now()
+}
+
+// Feeds returns the number of feeds that are open.
+func (b *Backend) Feeds() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.feeds
+}
+
+func (b *Backend) announce(ctx context.Context) {
+	const interval = 300 * time.Millisecond
+	for {
+		b.postAnnouncement(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(interval):
+		}
+	}
+}
+
+func (b *Backend) postAnnouncement(ctx context.Context) {
+	b.mu.Lock()
+	state := "active"
+	if b.draining {
+		state = "draining"
+	}
+	body := map[string]string{
+		"service": b.config.Service, "requests": b.config.Requests.String(),
+		"start": b.start.Format(time.RFC3339Nano), "state": state,
+	}
+	if b.config.Datagrams.IsValid() {
+		body["datagrams"] = b.config.Datagrams.String()
+	}
+	b.mu.Unlock()
+	data, err := json.Marshal(body)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+b.config.Announce.String()+"/announce", bytes.NewReader(data))
+	if err != nil {
+		return
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+}
+
+// enter takes a slot; ok is false when the backend server sheds or has fallen
+// over.
+func (b *Backend) enter(now time.Time) (ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	cold := now.Sub(b.start) < b.config.ColdTime
+	if now.Before(b.fallen) {
+		return false
+	}
+	if cold && b.running >= b.config.Cold {
+		b.config.Tally.Add(CountColdOverrun, 1)
+		b.fallen = now.Add(b.config.FallTime)
+		return false
+	}
+	if b.running >= b.config.Slots {
+		b.config.Tally.Add(CountShed, 1)
+		return false
+	}
+	b.running++
+	return true
+}
+
+func (b *Backend) leave() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.running--
+}
+
+func (b *Backend) serveRequest(w http.ResponseWriter, r *http.Request) {
+	if !belongs(r.URL.Path, b.config.Prefix) {
+		b.config.Tally.Add(CountMisrouted, 1)
+	}
+	if !b.enter(time.Now()) {
+		w.Header().Set("Retry-After", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer b.leave()
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	if key := r.Header.Get("Idempotency-Key"); key != "" {
+		b.config.Tally.Executed(key, r.Header.Get("Attempt"))
+	}
+	select {
+	case <-time.After(b.config.Work):
+	case <-r.Context().Done():
+		return
+	}
+	w.Header().Set("Server-Start", b.start.Format(time.RFC3339Nano))
+	_, _ = fmt.Fprintf(w, "%s %s by %s", r.URL.Path, body, b.config.Name)
+}
+
+func belongs(path, prefix string) bool {
+	return len(path) >= len(prefix) && path[:len(prefix)] == prefix
+}
+
+func (b *Backend) serveFeeds(ctx context.Context) error {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(b.config.Datagrams))
+	if err != nil {
+		return err
+	}
+	const idle = 30 * time.Second
+	server := &http3.Server{
+		TLSConfig:  http3.ConfigureTLSConfig(b.config.TLS),
+		QUICConfig: &quic.Config{MaxIdleTimeout: idle},
+		Handler:    http.HandlerFunc(b.serveFeed),
+	}
+	context.AfterFunc(ctx, func() { _ = server.Close(); _ = conn.Close() })
+	b.group.Go(func() { _ = server.Serve(conn) })
+	return nil
+}
+
+// serveFeed sends numbered lines until the caller goes away.
+func (b *Backend) serveFeed(w http.ResponseWriter, r *http.Request) {
+	if !belongs(r.URL.Path, b.config.Prefix) {
+		b.config.Tally.Add(CountMisrouted, 1)
+	}
+	b.mu.Lock()
+	b.feeds++
+	b.mu.Unlock()
+	defer func() {
+		b.mu.Lock()
+		b.feeds--
+		b.mu.Unlock()
+	}()
+	controller := http.NewResponseController(w)
+	w.Header().Set("Server-Name", b.config.Name)
+	for i := 0; ; i++ {
+		if _, err := fmt.Fprintf(w, "%d\n", i); err != nil {
+			return
+		}
+		if err := controller.Flush(); err != nil {
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(b.config.Tick):
+		}
+	}
+}
--- /dev/null
+++ b/pollenstandin/caller.go
@@ -0,0 +1,225 @@
+package pollenstandin
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+)
+
+// A Caller makes requests over HTTP/3 from one address.
+type Caller struct {
+	tally     *Tally
+	transport *http3.Transport
+	client    *http.Client
+	base      string
+}
+
+// NewCaller returns a new Caller of the service address.
+func NewCaller(service netip.AddrPort, config *tls.Config, tally *Tally) *Caller {
+	const (
+		idle  = 30 * time.Second
+		alive = 5 * time.Second
+	)
+	transport := &http3.Transport{
+		TLSClientConfig: config,
+		QUICConfig:      &quic.Config{MaxIdleTimeout: idle, KeepAlivePeriod: alive},
+	}
+	return &Caller{
+		tally: tally, transport: transport,
+		client: &http.Client{Transport: transport}, base: "https://" + service.String(),
+	}
+}
+
+// Close closes the caller's connection.
+func (c *Caller) Close() { _ = c.transport.Close() }
+
+// answer is what a caller got.
+type answer struct {
+	status    int
+	body      string
+	refused   string
+	execution string
+	repeated  bool
+}
+
+func (c *Caller) do(ctx context.Context, method, path, body string, header map[string]string) (answer, error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, strings.NewReader(body))
+	if err != nil {
+		return answer{}, err
+	}
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return answer{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return answer{}, err
+	}
+	return answer{
+		status: response.StatusCode, body: string(data),
+		refused: response.Header.Get("Pollen-Refused"), execution: response.Header.Get("Pollen-Execution"),
+		repeated: response.Header.Get("Pollen-Repeated") != "",
+	}, nil
+}
+
+// maxTries bounds how often a caller resends one registration.
+const maxTries = 6
+
+// Register sends a keyed registration until it is answered, and with again
+// once more after that. A resend after a lost answer or a refusal carries the
+// same key.
+func (c *Caller) Register(ctx context.Context, path, key string, again bool) {
+	c.tally.Add(CountRequests, 1)
+	first, ok := c.registerUntilAnswered(ctx, path, key)
+	if !ok {
+		c.tally.Add(CountRefused, 1)
+		return
+	}
+	c.tally.Add(CountAnswered, 1)
+	if !again {
+		return
+	}
+	second, ok := c.registerUntilAnswered(ctx, path, key)
+	if !ok {
+		return
+	}
+	c.tally.Add(CountRepeated, 1)
+	if second != first {
+		c.tally.Add(CountWrongAnswer, 1)
+	}
+}
+
+func (c *Caller) registerUntilAnswered(ctx context.Context, path, key string) (body string, ok bool) {
+	const tryTimeout = 3 * time.Second
+	for try := range maxTries {
+		attempt := key + "/" + strconv.Itoa(try) + "/" + strconv.FormatInt(time.Now().UnixNano(), 36)
+		tryCtx, cancel := context.WithTimeout(ctx, tryTimeout)
+		a, err := c.do(tryCtx, http.MethodPost, path, key, map[string]string{
+			"Idempotency-Key": key, "Attempt": attempt, "Request-Timeout": "2s",
+		})
+		cancel()
+		switch {
+		case err == nil && a.refused == "" && a.status == http.StatusOK:
+			if !strings.HasPrefix(a.body, path+" "+key+" by ") {
+				c.tally.Add(CountWrongAnswer, 1)
+			}
+			return a.body, true
+		case err == nil && a.execution == "not-run":
+			c.tally.RefusedNotRun(key, attempt)
+		case err == nil && a.execution == "unknown":
+			c.tally.Add(CountUnknown, 1)
+		}
+		if ctx.Err() != nil {
+			return "", false
+		}
+		const pause = 100 * time.Millisecond
+		time.Sleep(pause << try)
+	}
+	return "", false
+}
+
+// Download fetches a sheet and checks that it is whole.
+func (c *Caller) Download(ctx context.Context, path string) {
+	c.tally.Add(CountRequests, 1)
+	const timeout = 5 * time.Second
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	a, err := c.do(ctx, http.MethodGet, path, "", nil)
+	switch {
+	case err == nil && a.status == http.StatusOK:
+		if !strings.HasPrefix(a.body, path+" ") {
+			c.tally.Add(CountWrongAnswer, 1)
+		}
+		c.tally.Add(CountAnswered, 1)
+	default:
+		c.tally.Add(CountRefused, 1)
+	}
+}
+
+// A Feed is an open feed of a caller.
+type Feed struct {
+	caller *Caller
+	cancel context.CancelFunc
+	done   chan struct{}
+
+	mu     sync.Mutex
+	server string
+	last   time.Time
+	fault  string
+}
+
+// OpenFeed opens a feed and reads it in the background.
+func (c *Caller) OpenFeed(ctx context.Context, path string) (*Feed, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	f := &Feed{
+		caller: c, cancel: cancel, done: make(chan struct{}),
+		server: response.Header.Get("Server-Name"), last: time.Now(),
+	}
+	go f.read(ctx, response)
+	return f, nil
+}
+
+func (f *Feed) read(ctx context.Context, response *http.Response) {
+	defer close(f.done)
+	defer func() { _ = response.Body.Close() }()
+	scanner := bufio.NewScanner(response.Body)
+	for want := 0; scanner.Scan(); want++ {
+		f.mu.Lock()
+		f.last = time.Now()
+		if scanner.Text() != strconv.Itoa(want) {
+			f.fault = fmt.Sprintf("line %q in place of %d", scanner.Text(), want)
+		}
+		f.mu.Unlock()
+	}
+	if ctx.Err() == nil {
+		f.mu.Lock()
+		f.fault = fmt.Sprintf("ended: %v", scanner.Err())
+		f.mu.Unlock()
+	}
+}
+
+// Server returns the name of the backend server that sends the feed.
+func (f *Feed) Server() string { return f.server }
+
+// Fault returns what is wrong with the feed, or nothing. A feed that was
+// silent for longer than the bound counts as broken.
+func (f *Feed) Fault(now time.Time, silence time.Duration) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.fault == "" && now.Sub(f.last) > silence {
+		return fmt.Sprintf("silent for %s", now.Sub(f.last).Round(time.Millisecond))
+	}
+	return f.fault
+}
+
+// Close ends the feed and the caller's connection.
+func (f *Feed) Close() {
+	f.cancel()
+	f.caller.Close()
+	<-f.done
+}
--- /dev/null
+++ b/pollenstandin/fabric.go
@@ -0,0 +1,160 @@
+package pollenstandin
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// A Balancer is one target of the fabric.
+type Balancer struct {
+	// Bind is the address part under which the balancer listens.
+	Bind netip.Addr
+	// Admin is where the fabric asks whether the balancer is ready.
+	Admin netip.AddrPort
+}
+
+// A Fabric sprays each datagram of a caller over the balancers that are ready.
+// One socket stands for each caller, so that its address stands for the
+// caller's.
+type Fabric struct {
+	source    netip.Addr
+	balancers []Balancer
+	ready     []atomic.Bool
+	cancel    context.CancelFunc
+	group     sync.WaitGroup
+
+	mu      sync.Mutex
+	callers map[callerKey]*net.UDPConn
+}
+
+type callerKey struct{ caller, service netip.AddrPort }
+
+// StartFabric returns a new Fabric for the service addresses. Callers' sockets
+// are opened at the source address.
+func StartFabric(source netip.Addr, services []netip.AddrPort, balancers []Balancer) (*Fabric, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &Fabric{
+		source: source, balancers: balancers, ready: make([]atomic.Bool, len(balancers)),
+		cancel: cancel, callers: map[callerKey]*net.UDPConn{},
+	}
+	for _, service := range services {
+		conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(service))
+		if err != nil {
+			cancel()
+			return nil, err
+		}
+		_ = conn.SetReadBuffer(socketBuffer)
+		context.AfterFunc(ctx, func() { _ = conn.Close() })
+		f.group.Go(func() { f.forward(conn, service) })
+	}
+	for i := range balancers {
+		f.group.Go(func() { f.watch(ctx, i) })
+	}
+	return f, nil
+}
+
+const (
+	socketBuffer = 4 << 20
+	maxDatagram  = 2048
+)
+
+// Close stops the fabric.
+func (f *Fabric) Close() {
+	f.cancel()
+	f.mu.Lock()
+	for _, conn := range f.callers {
+		_ = conn.Close()
+	}
+	f.mu.Unlock()
+	f.group.Wait()
+}
+
+// Ready returns the number of balancers that take packets.
+func (f *Fabric) Ready() int {
+	n := 0
+	for i := range f.ready {
+		if f.ready[i].Load() {
+			n++
+		}
+	}
+	return n
+}
+
+// watch follows the readiness of a balancer.
+func (f *Fabric) watch(ctx context.Context, i int) {
+	const interval = 100 * time.Millisecond
+	client := &http.Client{Timeout: time.Second}
+	for ctx.Err() == nil {
+		response, err := client.Get("http://" + f.balancers[i].Admin.String() + "/readyz")
+		ready := err == nil && response.StatusCode == http.StatusOK
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		f.ready[i].Store(ready)
+		select {
+		case <-ctx.Done():
+		case <-time.After(interval):
+		}
+	}
+}
+
+func (f *Fabric) forward(conn *net.UDPConn, service netip.AddrPort) {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, from, err := conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return
+		}
+		out, err := f.caller(conn, callerKey{caller: from, service: service})
+		if err != nil {
+			continue
+		}
+		if to, ok := f.choose(service.Port()); ok {
+			_, _ = out.WriteToUDPAddrPort(buffer[:n], to)
+		}
+	}
+}
+
+// choose draws a balancer that is ready.
+func (f *Fabric) choose(port uint16) (netip.AddrPort, bool) {
+	start := rand.IntN(len(f.balancers))
+	for i := range f.balancers {
+		at := (start + i) % len(f.balancers)
+		if f.ready[at].Load() {
+			return netip.AddrPortFrom(f.balancers[at].Bind, port), true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+// caller returns the socket that stands for a caller.
+func (f *Fabric) caller(service *net.UDPConn, key callerKey) (*net.UDPConn, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if conn, ok := f.callers[key]; ok {
+		return conn, nil
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(f.source, 0)))
+	if err != nil {
+		return nil, err
+	}
+	_ = conn.SetReadBuffer(socketBuffer)
+	f.callers[key] = conn
+	f.group.Go(func() {
+		buffer := make([]byte, maxDatagram)
+		for {
+			n, _, err := conn.ReadFromUDPAddrPort(buffer)
+			if err != nil {
+				return
+			}
+			_, _ = service.WriteToUDPAddrPort(buffer[:n], key.caller)
+		}
+	})
+	return conn, nil
+}
