--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+TOOLS := $(CURDIR)/.tools
+LINT := $(TOOLS)/golangci-lint
+LINT_VERSION := v2.15.0
+
+.PHONY: build quickstart test lint unit known bench fuzz format
+
+build:
+	go build -o bin/ ./cmd/...
+
+quickstart: build
+	bin/pollenquickstart
+
+test: lint unit known
+
+lint: $(LINT)
+	go mod verify
+	$(LINT) run ./...
+
+unit: build
+	go test -count=1 -timeout 20m ./...
+
+# Prints the checks that are known to fail; see KNOWN-RED.txt.
+known:
+	@cat KNOWN-RED.txt
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+
+fuzz:
+	go test -run '^$$' -fuzz FuzzRead -fuzztime 30s ./pollendocument
+	go test -run '^$$' -fuzz FuzzUnmarshal -fuzztime 30s ./pollenwire
+	go test -run '^$$' -fuzz FuzzOpen -fuzztime 30s ./pollenwire
+
+format: $(LINT)
+	$(LINT) fmt ./...
+
+$(LINT):
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
--- a/pollenagent/flows.go
+++ b/pollenagent/flows.go
@@ -80,7 +80,7 @@
 	balancers []pollenview.Member
 
 	records   map[pollenflow.Key]*Record
-	directory *pollenflow.Leased[pollenflow.Key, pollendocument.ServerName]
+	directory *pollenflow.Leased[pollenflow.Key, pollenview.ReplicaRef]
 	absent    *pollenflow.Leased[pollenflow.Key, struct{}]
 	loads     *pollenflow.Loads
 	scratch   []pollenflow.Load
@@ -111,7 +111,7 @@
 		view:      pollenview.NewView(),
 		started:   now,
 		records:   map[pollenflow.Key]*Record{},
-		directory: pollenflow.NewLeased[pollenflow.Key, pollendocument.ServerName](config.Lease),
+		directory: pollenflow.NewLeased[pollenflow.Key, pollenview.ReplicaRef](config.Lease),
 		absent:    pollenflow.NewLeased[pollenflow.Key, struct{}](absentLease),
 		loads:     pollenflow.NewLoads(loadLease),
 		searches:  budget{rate: float64(config.SearchRate), burst: float64(config.SearchRate)},
@@ -239,11 +239,19 @@
 
 // holder returns the agent that the directory names, if it still is one.
 func (f *Flows) holder(now time.Time, key pollenflow.Key) (*pollenview.Member, bool) {
-	name, ok := f.directory.Get(now, key)
-	if !ok || name == f.config.Self.Name {
+	ref, ok := f.directory.Get(now, key)
+	if !ok || ref.Name == f.config.Self.Name {
 		return nil, false
 	}
-	return f.agent(name)
+	m, ok := f.agent(ref.Name)
+	return m, ok && m.Incarnation == ref.Incarnation
+}
+
+// Reference names this incarnation of the agent.
+func (f *Flows) Reference() pollenview.ReplicaRef { return reference(f.config.Self) }
+
+func reference(m pollenview.Member) pollenview.ReplicaRef {
+	return pollenview.ReplicaRef{Name: m.Name, Incarnation: m.Incarnation}
 }
 
 func (f *Flows) agent(name pollendocument.ServerName) (*pollenview.Member, bool) {
@@ -278,9 +286,14 @@
 		return drop(pollenkernel.RefusalNoMember)
 	}
 	if home.Name != f.config.Self.Name {
-		return Decision{
+		d := Decision{
 			Kind: DecisionForward, To: home.Address, Target: pollenflow.DigestOf(home.Name), Hops: p.Hops + 1,
 		}
+		if p.Hops > 0 {
+			// An agent took this one for the holder or for the home.
+			d.Tell, d.Decline = p.From, true
+		}
+		return d
 	}
 	if _, known := f.absent.Get(now, p.Key); known && !p.Opens {
 		return drop(pollenkernel.RefusalUnknownFlow)
@@ -381,7 +394,7 @@
 	if !ok {
 		return drop(pollenkernel.RefusalNoMember)
 	}
-	f.directory.Put(now, p.Key, to.Name)
+	f.directory.Put(now, p.Key, reference(*to))
 	f.loads.AddFlow(now, to.Name)
 	return Decision{
 		Kind: DecisionForward, To: to.Address, Target: pollenflow.DigestOf(to.Name),
--- a/pollenagent/view.go
+++ b/pollenagent/view.go
@@ -123,7 +123,7 @@
 			continue
 		}
 		r.registered = now
-		batch := append(batches[home.Address], pollenflow.Registration{Key: r.Key, Holder: f.config.Self.Name})
+		batch := append(batches[home.Address], pollenflow.Registration{Key: r.Key, Holder: f.Reference()})
 		if len(batch) == maxRegistrations {
 			actions = append(actions, Register{To: home.Address, Registrations: batch})
 			batch = nil
@@ -150,7 +150,7 @@
 func (f *Flows) Registered(now time.Time, registrations []pollenflow.Registration) {
 	for _, r := range registrations {
 		if r.Gone {
-			if name, ok := f.directory.Get(now, r.Key); ok && name == r.Holder {
+			if ref, ok := f.directory.Get(now, r.Key); ok && ref == r.Holder {
 				f.directory.Delete(r.Key)
 			}
 			continue
@@ -195,17 +195,22 @@
 			continue
 		}
 		f.close(r, signal)
-		actions = append(actions, CloseFlow{Record: r})
-		home, ok := f.homes.Home(pollenflow.BucketOf(f.service, r.Key))
-		if ok && home.Name != f.config.Self.Name {
-			actions = append(actions, Register{To: home.Address, Registrations: []pollenflow.Registration{
-				{Key: r.Key, Holder: f.config.Self.Name, Gone: true},
-			}})
-		}
+		actions = append(append(actions, CloseFlow{Record: r}), f.unregister(r)...)
 	}
 	return actions
 }
 
+// unregister tells the home that a flow has ended.
+func (f *Flows) unregister(r *Record) []Action {
+	home, ok := f.homes.Home(pollenflow.BucketOf(f.service, r.Key))
+	if !ok || home.Name == f.config.Self.Name {
+		return nil
+	}
+	return []Action{Register{To: home.Address, Registrations: []pollenflow.Registration{
+		{Key: r.Key, Holder: f.Reference(), Gone: true},
+	}}}
+}
+
 // maxLoadPeers bounds the peers that are told the load each time.
 const maxLoadPeers = 8
 
@@ -249,8 +254,11 @@
 func (f *Flows) Serving() bool { return f.serving }
 
 // CloseEnded drops a flow that the agent itself has ended.
-func (f *Flows) CloseEnded(key pollenflow.Key) {
-	if r, ok := f.records[key]; ok {
-		f.close(r, pollenadmission.SignalSuccess)
+func (f *Flows) CloseEnded(key pollenflow.Key) []Action {
+	r, ok := f.records[key]
+	if !ok {
+		return nil
 	}
+	f.close(r, pollenadmission.SignalSuccess)
+	return f.unregister(r)
 }
--- a/pollenflow/load.go
+++ b/pollenflow/load.go
@@ -29,8 +29,10 @@
 
 // A Registration tells a home agent which agent holds a flow.
 type Registration struct {
-	Key    Key
-	Holder pollendocument.ServerName
+	Key Key
+	// Holder is one incarnation of an agent: a later one holds the flow only
+	// after it has taken it back and registered it again.
+	Holder pollenview.ReplicaRef
 	// Gone ends an earlier registration, because the flow has ended or the
 	// holder declined it.
 	Gone bool
--- a/pollengateway/gateway.go
+++ b/pollengateway/gateway.go
@@ -15,7 +15,6 @@
 	"pollenstep.example/pollenstep/pollenbalancer"
 	"pollenstep.example/pollenstep/pollencall"
 	"pollenstep.example/pollenstep/pollendocument"
-	"pollenstep.example/pollenstep/pollenflow"
 	"pollenstep.example/pollenstep/pollenkernel"
 	"pollenstep.example/pollenstep/pollenmember"
 	"pollenstep.example/pollenstep/pollenmetric"
@@ -181,7 +180,7 @@
 	if uint64(h.Revision) > g.revision.Load() {
 		g.membership.Step(time.Now(), pollenmember.RevisionHeard{From: from, Revision: h.Revision})
 	}
-	found, ok := g.listeners.Load(pollenflow.Digest(h.Service))
+	found, ok := g.listeners.Load(h.Service)
 	if !ok || !h.Caller.IsValid() {
 		g.base.Metrics.Refused(pollenkernel.RefusalUnknownService)
 		return
--- a/pollenquorum/quorum.go
+++ b/pollenquorum/quorum.go
@@ -53,7 +53,6 @@
 	// waiting holds the calls that wait for a Reply.
 	waiting map[pollencontrol.Token]chan pollencontrol.Answer
 	senders map[netip.AddrPort]chan pollenlog.Message
-	held    int
 	// failed ends the process when the disk does not take a write.
 	failed chan error
 }
--- a/pollensidecar/announce.go
+++ b/pollensidecar/announce.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"pollenstep.example/pollenstep/pollendocument"
+	"pollenstep.example/pollenstep/pollenmember"
 	"pollenstep.example/pollenstep/pollenmetric"
 	"pollenstep.example/pollenstep/pollenrequest"
 	"pollenstep.example/pollenstep/pollenview"
@@ -153,6 +154,10 @@
 	a.closeFront(ctx)
 	a.waitRequests(ctx)
 	a.handOver(ctx)
+	if a.front != nil {
+		// Nothing is left that a restart could take back.
+		a.membership.Step(time.Now(), pollenmember.Leave{})
+	}
 }
 
 // mayLeave reports whether no new work comes here any more and the claims are
--- a/pollensidecar/flow.go
+++ b/pollensidecar/flow.go
@@ -68,7 +68,7 @@
 		}
 	}
 	if d.Tell.IsValid() {
-		registration := []pollenflow.Registration{{Key: h.Caller, Holder: a.self.Name, Gone: d.Decline}}
+		registration := []pollenflow.Registration{{Key: h.Caller, Holder: a.flows.Reference(), Gone: d.Decline}}
 		a.send(d.Tell, pollenwire.DatagramRegister, pollenwire.Marshal(&registration, pollenwire.MapRegistrations))
 	}
 }
@@ -89,7 +89,7 @@
 		var err error
 		if r, err = a.openRelay(d.Record, d.Record.Port); err != nil {
 			a.base.Log.WithError(err).Error("relay socket cannot be opened")
-			a.flows.CloseEnded(key)
+			a.act(a.flows.CloseEnded(key))
 			return
 		}
 		a.base.Metrics.Count(pollenmetric.EventFlowOpened, 1)
@@ -263,7 +263,7 @@
 	}
 	if _, err := a.openRelay(record, k.Port); err != nil {
 		a.base.Log.WithError(err).Warn("flow not taken back")
-		a.flows.CloseEnded(k.Key)
+		a.act(a.flows.CloseEnded(k.Key))
 		return false
 	}
 	return true
--- a/pollensidecar/sidecar.go
+++ b/pollensidecar/sidecar.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net/netip"
-	"sync"
 	"time"
 
 	"pollenstep.example/pollenstep/pollenadmission"
@@ -64,10 +63,8 @@
 	relays   map[pollenflow.Key]*relay
 	pending  map[pollenrequest.ID]*pendingRequest
 	nextID   pollenrequest.ID
-	balancer netip.AddrPort
 
-	front   *front
-	stopped sync.Once
+	front *front
 }
 
 // New returns a new Sidecar with its sockets open.
--- a/pollenstandin/caller.go
+++ b/pollenstandin/caller.go
@@ -171,7 +171,7 @@
 		cancel()
 		return nil, err
 	}
-	response, err := c.client.Do(request)
+	response, err := c.client.Do(request) //nolint:bodyclose // the reader of the feed closes it
 	if err != nil {
 		cancel()
 		return nil, err
@@ -180,14 +180,14 @@
 		caller: c, cancel: cancel, done: make(chan struct{}),
 		server: response.Header.Get("Server-Name"), last: time.Now(),
 	}
-	go f.read(ctx, response)
+	go f.read(ctx, response.Body)
 	return f, nil
 }
 
-func (f *Feed) read(ctx context.Context, response *http.Response) {
+func (f *Feed) read(ctx context.Context, body io.ReadCloser) {
 	defer close(f.done)
-	defer func() { _ = response.Body.Close() }()
-	scanner := bufio.NewScanner(response.Body)
+	defer func() { _ = body.Close() }()
+	scanner := bufio.NewScanner(body)
 	for want := 0; scanner.Scan(); want++ {
 		f.mu.Lock()
 		f.last = time.Now()
--- a/pollenwire/agent.go
+++ b/pollenwire/agent.go
@@ -21,7 +21,7 @@
 func MapRegistrations(c *Codec, registrations *[]pollenflow.Registration) {
 	list(c, registrations, func(c *Codec, r *pollenflow.Registration) {
 		address(c, &r.Key)
-		text(c, &r.Holder)
+		MapReplicaRef(c, &r.Holder)
 		boolean(c, &r.Gone)
 	})
 }
