--- /dev/null
+++ b/pollenlog/node_test.go
@@ -0,0 +1,208 @@
+package pollenlog_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pollenstep.example/pollenstep/pollenlog"
+)
+
+// scenario runs one deterministic cluster.
+func scenario(t *testing.T, size int, run func(c *cluster)) {
+	t.Helper()
+	rapid.Check(t, func(r *rapid.T) {
+		c := newCluster(r, size)
+		c.run(4 * election)
+		if c.leader() == nil {
+			r.Fatalf("no leader after four elections")
+		}
+		run(c)
+	})
+}
+
+// A partitioned leader stops accepting proposals within one election timeout.
+func TestCutLeaderStopsAccepting(t *testing.T) {
+	scenario(t, 3, func(c *cluster) {
+		old := c.leader()
+		old.cut = true
+		c.run(election + heartbeat)
+		token := c.propose(old, "stale")
+		if _, ok := c.accepted[token]; ok {
+			c.t.Fatalf("cut leader accepted a proposal after an election timeout")
+		}
+		c.run(4 * election)
+		if l := c.leader(); l == nil || l == old {
+			c.t.Fatalf("the majority elected no leader")
+		}
+		c.heal()
+	})
+}
+
+// A frozen leader that thaws must not confirm a read from its old state.
+func TestThawedLeaderConfirmsNoStaleRead(t *testing.T) {
+	scenario(t, 3, func(c *cluster) {
+		old := c.leader()
+		old.frozen = true
+		c.run(6 * election)
+		l := c.leader()
+		token := c.propose(l, "newer")
+		c.run(election)
+		if _, ok := c.accepted[token]; !ok {
+			c.t.Fatalf("new leader rejected a proposal")
+		}
+		old.frozen = false
+		c.token++
+		c.floor[c.token] = c.highest()
+		c.step(old, pollenlog.ConfirmRead{Token: c.token})
+		c.run(2 * election)
+		c.heal()
+	})
+}
+
+// A replica that was cut off does not depose the leader on its return.
+func TestReturningReplicaDoesNotDisturb(t *testing.T) {
+	scenario(t, 3, func(c *cluster) {
+		l := c.leader()
+		var other *replica
+		for _, r := range c.replicas {
+			if r != l {
+				other = r
+			}
+		}
+		other.cut = true
+		c.run(10 * election)
+		term := l.node.Status().Term
+		other.cut = false
+		c.run(4 * election)
+		if got := l.node.Status(); got.Role != pollenlog.RoleLeader || got.Term != term {
+			c.t.Fatalf("leader of term %d became %s in term %d", term, got.Role, got.Term)
+		}
+	})
+}
+
+// A lost disk comes back as another replica, which has no vote until the
+// membership says so.
+func TestLostDiskHasNoVote(t *testing.T) {
+	scenario(t, 3, func(c *cluster) {
+		l := c.leader()
+		c.propose(l, "kept")
+		c.run(election)
+		var lost *replica
+		for _, r := range c.replicas {
+			if r != l {
+				lost = r
+			}
+		}
+		lost.disk = pollenlog.Stored{}
+		lost.id = 9
+		c.boot(lost)
+		l.down = true
+		c.run(10 * election)
+		if c.leader() != nil {
+			c.t.Fatalf("a leader was elected with the vote of a replica that lost its disk")
+		}
+	})
+}
+
+// The lost replica is replaced; then a second host is lost and everything is
+// still there.
+func TestReplacementThenSecondLoss(t *testing.T) {
+	scenario(t, 3, func(c *cluster) {
+		l := c.leader()
+		kept := c.propose(l, "kept")
+		c.run(election)
+		var lost, second *replica
+		for _, r := range c.replicas {
+			switch {
+			case r == l:
+			case lost == nil:
+				lost = r
+			default:
+				second = r
+			}
+		}
+		old := lost.id
+		lost.disk = pollenlog.Stored{}
+		lost.id = 9
+		c.boot(lost)
+		change := func(e pollenlog.ChangeMembership) {
+			c.token++
+			e.Token = c.token
+			c.step(l, e)
+			if c.rejected[c.token] {
+				c.t.Fatalf("membership change %+v was rejected", e)
+			}
+			c.run(2 * election)
+		}
+		change(pollenlog.ChangeMembership{Add: pollenlog.Replica{ID: 9, Address: addressOf(9)}})
+		change(pollenlog.ChangeMembership{Remove: old})
+		change(pollenlog.ChangeMembership{Add: pollenlog.Replica{ID: 9, Address: addressOf(9), Voter: true}})
+		second.disk = pollenlog.Stored{}
+		second.down = true
+		token := c.propose(l, "after")
+		c.run(2 * election)
+		if e, ok := c.committed[c.accepted[token].Index]; !ok || string(e.Data) != "after" {
+			c.t.Fatalf("nothing is committed after the second loss")
+		}
+		if lost.node.Status().Applied < c.accepted[kept].Index {
+			c.t.Fatalf("replacement lacks what was committed before")
+		}
+	})
+}
+
+// A planned stop hands leadership over without an election timeout.
+func TestTransferIsQuick(t *testing.T) {
+	scenario(t, 3, func(c *cluster) {
+		l := c.leader()
+		c.step(l, pollenlog.TransferLeadership{})
+		c.run(2 * tick)
+		if next := c.leader(); next == nil || next == l {
+			c.t.Fatalf("leadership was not handed over within %s", 2*tick)
+		}
+	})
+}
+
+// A follower that lacks compacted entries gets the snapshot.
+func TestSnapshotCatchUp(t *testing.T) {
+	scenario(t, 3, func(c *cluster) {
+		l := c.leader()
+		var behind *replica
+		for _, r := range c.replicas {
+			if r != l {
+				behind = r
+			}
+		}
+		behind.down = true
+		for range 500 {
+			c.propose(l, "change")
+			c.run(tick)
+		}
+		c.step(l, pollenlog.Compact{Index: l.node.Status().Applied, Data: []byte("state")})
+		c.boot(behind)
+		c.run(4 * election)
+		if got, want := behind.node.Status().Applied, l.node.Status().Applied; got != want {
+			c.t.Fatalf("replica applied %d of %d after 500 changes passed it by", got, want)
+		}
+	})
+}
+
+func BenchmarkPropose(b *testing.B) {
+	now := time.Unix(1_000_000, 0)
+	n := pollenlog.NewNode(now, pollenlog.Config{
+		ID: 1, Address: addressOf(1), Election: election, Heartbeat: heartbeat, Seed: 1, MaxAppend: 64,
+	}, pollenlog.Stored{Hard: pollenlog.HardState{Term: 1}, Snapshot: pollenlog.Snapshot{Index: 1, Term: 1, Membership: pollenlog.Membership{
+		Replicas: []pollenlog.Replica{{ID: 1, Address: addressOf(1), Voter: true}},
+	}}})
+	now = now.Add(2 * election)
+	n.Step(now, pollenlog.Tick{})
+	data := make([]byte, 200)
+	b.ReportAllocs()
+	for i := range b.N {
+		n.Step(now, pollenlog.Propose{Token: pollenlog.Token(i + 1), Data: data})
+		if i%1000 == 999 {
+			n.Step(now, pollenlog.Compact{Index: n.Status().Applied})
+		}
+	}
+}
--- a/pollenstore/folder.go
+++ b/pollenstore/folder.go
@@ -156,12 +156,17 @@
 	if p.Hard != nil {
 		f.stored.Hard = *p.Hard
 	}
+	if len(p.Entries) == 0 {
+		return true
+	}
 	entries := p.Entries
 	base := f.stored.Snapshot.Index
 	for len(entries) > 0 && entries[0].Index <= base {
 		entries = entries[1:]
 	}
 	if len(entries) == 0 {
+		// Everything after the last of these entries was cut off by them.
+		f.stored.Entries = nil
 		return true
 	}
 	position := int(entries[0].Index - base - 1)
