--- a/pollenadmission/limiter.go
+++ b/pollenadmission/limiter.go
@@ -17,6 +17,8 @@
 	Cold int
 	// Connections is the most flows.
 	Connections int
+	// WarmUp is how long a cold start lasts at least.
+	WarmUp time.Duration
 }
 
 // A Signal is something learnt about the backend server.
@@ -38,11 +40,20 @@
 	SignalTimeout Signal = "timeout"
 )
 
+// A Level is where a Ramp stands.
+type Level struct {
+	// Limit is the most work at once, between Limits.Cold and Limits.Slots.
+	Limit int
+	// Successes counts towards the next step.
+	Successes int
+	// Since is when the last sign of a cold start came.
+	Since time.Time
+}
+
 // A Ramp decides how the limit follows the signals.
 type Ramp interface {
-	// Next returns the limit after a signal, and the successes counted towards
-	// the next step.
-	Next(limits Limits, limit, successes int, signal Signal) (newLimit, newSuccesses int)
+	// Next returns the level after a signal.
+	Next(now time.Time, limits Limits, level Level, signal Signal) Level
 }
 
 // Ramps holds the registered ramps.
@@ -64,27 +75,33 @@
 const successesPerStep = 4
 
 // successRamp grows by one slot after successesPerStep successes for each slot,
-// and falls to the cold limit at every other signal.
+// once the warm-up has passed. A timeout halves the limit, since a slow request
+// is no sign of a cold start; every other signal takes it to the cold limit.
 type successRamp struct{}
 
 // Next implements Ramp.
-func (successRamp) Next(limits Limits, limit, successes int, signal Signal) (newLimit, newSuccesses int) {
-	if signal != SignalSuccess {
-		return limits.Cold, 0
+func (successRamp) Next(now time.Time, limits Limits, level Level, signal Signal) Level {
+	switch {
+	case signal == SignalTimeout:
+		return Level{Limit: max(limits.Cold, level.Limit/2), Since: level.Since}
+	case signal != SignalSuccess:
+		return Level{Limit: limits.Cold, Since: now}
+	case now.Sub(level.Since) < limits.WarmUp || level.Limit >= limits.Slots:
+		return level
 	}
-	successes++
-	if limit < limits.Slots && successes >= successesPerStep*limit {
-		return limit + 1, 0
+	level.Successes++
+	if level.Successes >= successesPerStep*level.Limit {
+		return Level{Limit: level.Limit + 1, Since: level.Since}
 	}
-	return limit, successes
+	return level
 }
 
 // offRamp always allows every slot. It is the baseline without protection.
 type offRamp struct{}
 
 // Next implements Ramp.
-func (offRamp) Next(limits Limits, _, _ int, _ Signal) (newLimit, newSuccesses int) {
-	return limits.Slots, 0
+func (offRamp) Next(_ time.Time, limits Limits, _ Level, _ Signal) Level {
+	return Level{Limit: limits.Slots}
 }
 
 // Parameters of the detection of slow answers.
@@ -100,9 +117,7 @@
 type Limiter struct {
 	limits Limits
 	ramp   Ramp
-	// limit is between limits.Cold and limits.Slots.
-	limit     int
-	successes int
+	level  Level
 	// running never exceeds the limit that held when the last work began.
 	running int
 	flows   int
@@ -113,21 +128,21 @@
 }
 
 // NewLimiter returns a new Limiter that starts cold.
-func NewLimiter(limits Limits, ramp Ramp) *Limiter {
+func NewLimiter(now time.Time, limits Limits, ramp Ramp) *Limiter {
 	l := &Limiter{limits: limits, ramp: ramp}
-	l.limit, l.successes = ramp.Next(limits, limits.Cold, 0, SignalRestarted)
+	l.level = ramp.Next(now, limits, l.level, SignalRestarted)
 	return l
 }
 
 // SetLimits follows a change of the document.
 func (l *Limiter) SetLimits(limits Limits) {
 	l.limits = limits
-	l.limit = min(max(l.limit, limits.Cold), limits.Slots)
+	l.level.Limit = min(max(l.level.Limit, limits.Cold), limits.Slots)
 }
 
 // Begin takes a unit of work if the limit allows it.
 func (l *Limiter) Begin() bool {
-	if l.running >= l.limit {
+	if l.running >= l.level.Limit {
 		return false
 	}
 	l.running++
@@ -135,17 +150,17 @@
 }
 
 // End gives a unit of work back and learns from how it went.
-func (l *Limiter) End(signal Signal) {
+func (l *Limiter) End(now time.Time, signal Signal) {
 	l.running--
-	l.Learn(signal)
+	l.Learn(now, signal)
 }
 
 // Cancel gives a unit of work back that says nothing about the backend server.
 func (l *Limiter) Cancel() { l.running-- }
 
 // Learn follows a signal that is not tied to a unit of work.
-func (l *Limiter) Learn(signal Signal) {
-	l.limit, l.successes = l.ramp.Next(l.limits, l.limit, l.successes, signal)
+func (l *Limiter) Learn(now time.Time, signal Signal) {
+	l.level = l.ramp.Next(now, l.limits, l.level, signal)
 	if signal == SignalRestarted {
 		l.usual, l.answers = 0, 0
 	}
@@ -167,18 +182,29 @@
 
 // Stamp follows the backend server's start stamp, which it announces or sends
 // with its answers, and reports whether it is a new one.
-func (l *Limiter) Stamp(stamp string) (restarted bool) {
+func (l *Limiter) Stamp(now time.Time, stamp string) (restarted bool) {
 	if stamp == "" || stamp == l.stamp {
 		return false
 	}
 	restarted = l.stamp != ""
 	l.stamp = stamp
 	if restarted {
-		l.Learn(SignalRestarted)
+		l.Learn(now, SignalRestarted)
 	}
 	return restarted
 }
 
+// StampNow returns the start stamp last followed.
+func (l *Limiter) StampNow() string { return l.stamp }
+
+// Resume takes over the limit that an earlier incarnation of the agent had
+// reached with the same start of the backend server.
+func (l *Limiter) Resume(stamp string, limit int) {
+	if stamp != "" && stamp == l.stamp {
+		l.level.Limit = min(max(limit, l.level.Limit), l.limits.Slots)
+	}
+}
+
 // OpenFlow takes a flow if the limit of connections allows it.
 func (l *Limiter) OpenFlow() bool {
 	if l.flows >= l.limits.Connections {
@@ -203,7 +229,7 @@
 // Usage returns the present counts.
 func (l *Limiter) Usage() Usage {
 	return Usage{
-		Running: l.running, Limit: l.limit, Flows: l.flows, Connections: l.limits.Connections,
-		Cold: l.limit < l.limits.Slots,
+		Running: l.running, Limit: l.level.Limit, Flows: l.flows, Connections: l.limits.Connections,
+		Cold: l.level.Limit < l.limits.Slots,
 	}
 }
--- a/pollenagent/flows.go
+++ b/pollenagent/flows.go
@@ -166,8 +166,8 @@
 	Decline bool
 }
 
-// maxHops bounds how often a packet is passed on.
-const maxHops = 4
+// MaxHops bounds how often a packet is passed on.
+const MaxHops = 4
 
 // Decide returns what to do with a packet. It allocates only when it opens a
 // flow.
@@ -194,7 +194,7 @@
 	if p.Assigned {
 		return f.takeAssigned(now, p)
 	}
-	if p.Hops >= maxHops {
+	if p.Hops >= MaxHops {
 		return drop(pollenkernel.RefusalHopLimit)
 	}
 	if to, ok := f.holder(now, p.Key); ok {
@@ -456,7 +456,7 @@
 	r.Seen = now
 	if !r.Established {
 		r.Established = true
-		f.config.Limiter.End(pollenadmission.SignalSuccess)
+		f.config.Limiter.End(now, pollenadmission.SignalSuccess)
 	}
 	return f.answerRoute(r)
 }
@@ -487,22 +487,22 @@
 // Failed notes that the backend server refused the flow's packet. A flow that
 // was being opened is given up, so that the caller's next packet finds another
 // backend server.
-func (f *Flows) Failed(key pollenflow.Key) (closed *Record, ok bool) {
+func (f *Flows) Failed(now time.Time, key pollenflow.Key) (closed *Record, ok bool) {
 	r, held := f.records[key]
 	if !held || r.Established {
 		return nil, false
 	}
-	f.config.Limiter.Learn(pollenadmission.SignalRefused)
-	f.close(r, pollenadmission.SignalRefused)
+	f.config.Limiter.Learn(now, pollenadmission.SignalRefused)
+	f.close(now, r, pollenadmission.SignalRefused)
 	return r, true
 }
 
 // close drops a record.
-func (f *Flows) close(r *Record, signal pollenadmission.Signal) {
+func (f *Flows) close(now time.Time, r *Record, signal pollenadmission.Signal) {
 	delete(f.records, r.Key)
 	f.config.Limiter.CloseFlow()
 	if !r.Established {
-		f.config.Limiter.End(signal)
+		f.config.Limiter.End(now, signal)
 	}
 	f.keeping.changed(r.Key)
 }
--- a/pollenagent/keep.go
+++ b/pollenagent/keep.go
@@ -32,6 +32,9 @@
 	// Removed taken away.
 	Full    bool
 	Records []KeptRecord
+	// Stamp and Limit tell what the backend server bore at its present start.
+	Stamp   string
+	Limit   int
 	Removed []pollenflow.Key
 }
 
@@ -77,6 +80,7 @@
 func (f *Flows) newKept() Kept {
 	return Kept{
 		Name: f.config.Self.Name, Incarnation: f.config.Self.Incarnation, Service: f.config.Self.Service,
+		Stamp: f.config.Limiter.StampNow(), Limit: f.config.Limiter.Usage().Limit,
 	}
 }
 
@@ -145,6 +149,8 @@
 	incarnation pollenview.Incarnation
 	service     pollendocument.ServiceName
 	records     map[pollenflow.Key]KeptRecord
+	stamp       string
+	limit       int
 	updated     time.Time
 }
 
@@ -163,6 +169,7 @@
 		v.kept[k.Name] = e
 	}
 	e.incarnation, e.service, e.updated = k.Incarnation, k.Service, now
+	e.stamp, e.limit = k.Stamp, k.Limit
 	for _, r := range k.Records {
 		e.records[r.Key] = r
 	}
@@ -177,7 +184,7 @@
 	if !ok || e.service != service {
 		return Kept{}, false
 	}
-	k := Kept{Name: name, Incarnation: e.incarnation, Service: e.service, Full: true}
+	k := Kept{Name: name, Incarnation: e.incarnation, Service: e.service, Full: true, Stamp: e.stamp, Limit: e.limit}
 	for _, r := range e.records {
 		k.Records = append(k.Records, r)
 	}
--- a/pollenagent/view.go
+++ b/pollenagent/view.go
@@ -49,12 +49,12 @@
 	f.serving = known && view.DomainIn(f.config.Self.Domain)
 	f.balancers = view.Balancers()
 	if !f.serving {
-		return f.closeAll()
+		return f.closeAll(now)
 	}
 	f.delivery = service.Delivery
 	f.idle = service.Idle
 	f.config.Limiter.SetLimits(pollenadmission.Limits{
-		Slots: service.Slots, Cold: service.Cold, Connections: service.Connections,
+		Slots: service.Slots, Cold: service.Cold, Connections: service.Connections, WarmUp: service.WarmUp,
 	})
 	f.agents = view.Agents(f.config.Self.Service)
 	self, member := view.Members[f.config.Self.Name]
@@ -79,13 +79,13 @@
 }
 
 // closeAll gives every flow up, because the failure domain is out.
-func (f *Flows) closeAll() []Action {
+func (f *Flows) closeAll(now time.Time) []Action {
 	actions := make([]Action, 0, len(f.records))
 	for _, r := range f.sorted() {
-		f.close(r, pollenadmission.SignalRestarted)
+		f.close(now, r, pollenadmission.SignalRestarted)
 		actions = append(actions, CloseFlow{Record: r})
 	}
-	f.config.Limiter.Learn(pollenadmission.SignalRestarted)
+	f.config.Limiter.Learn(now, pollenadmission.SignalRestarted)
 	f.homes = nil
 	f.generations = nil
 	return actions
@@ -194,7 +194,7 @@
 		default:
 			continue
 		}
-		f.close(r, signal)
+		f.close(now, r, signal)
 		actions = append(append(actions, CloseFlow{Record: r}), f.unregister(r)...)
 	}
 	return actions
@@ -254,11 +254,11 @@
 func (f *Flows) Serving() bool { return f.serving }
 
 // CloseEnded drops a flow that the agent itself has ended.
-func (f *Flows) CloseEnded(key pollenflow.Key) []Action {
+func (f *Flows) CloseEnded(now time.Time, key pollenflow.Key) []Action {
 	r, ok := f.records[key]
 	if !ok {
 		return nil
 	}
-	f.close(r, pollenadmission.SignalSuccess)
+	f.close(now, r, pollenadmission.SignalSuccess)
 	return f.unregister(r)
 }
--- a/pollencommand/command.go
+++ b/pollencommand/command.go
@@ -74,7 +74,7 @@
 			roleCommand(pollensettings.RoleBalancer, "pass callers' packets to agents"),
 			roleCommand(pollensettings.RoleAgent, "stand beside one backend server"),
 			keysCommand(), checkCommand(), submitCommand(), showCommand(), diffCommand(),
-			statusCommand(), repairCommand(), versionCommand(),
+			statusCommand(), repairCommand(), replayCommand(), versionCommand(),
 		},
 	}
 	return root
--- /dev/null
+++ b/pollencommand/replay.go
@@ -0,0 +1,131 @@
+package pollencommand
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"pollenstep.example/pollenstep/pollenreplay"
+	"pollenstep.example/pollenstep/pollentrace"
+)
+
+// resultView is the JSON form of a replay.
+type resultView struct {
+	Trace    string             `json:"trace"`
+	Variant  string             `json:"variant"`
+	Figures  map[string]float64 `json:"figures"`
+	Refusals map[string]int     `json:"refusals,omitempty"`
+	Failed   []string           `json:"failed,omitempty"`
+	Notes    []string           `json:"notes,omitempty"`
+}
+
+func replayCommand() *cli.Command {
+	return &cli.Command{
+		Name: "replay", Usage: "run traces in virtual time and check their outcomes", ArgsUsage: "TRACE...",
+		Description: "Example: pollenstep replay traces/planned.yaml\n" +
+			"Example: pollenstep replay --compare traces/*.yaml",
+		Flags: []cli.Flag{
+			outputFlag(),
+			&cli.BoolFlag{Name: "compare", Usage: "run the baselines too, one column each; expectations are then not checked"},
+			&cli.Uint64Flag{Name: "seed", Usage: "`SEED` in place of the trace's"},
+		},
+		Action: replay,
+	}
+}
+
+func replay(_ context.Context, c *cli.Command) error {
+	if c.Args().Len() == 0 {
+		return inputError(errors.New("one trace file or more are needed"))
+	}
+	var views []resultView
+	failed := false
+	for _, file := range c.Args().Slice() {
+		trace, err := pollentrace.Load(file)
+		if err != nil {
+			return inputError(err)
+		}
+		if c.IsSet("seed") {
+			trace.Seed = c.Uint64("seed")
+		}
+		variants := []pollenreplay.Variant{pollenreplay.VariantSystem}
+		if c.Bool("compare") {
+			variants = pollenreplay.Variants()
+		}
+		for _, v := range variants {
+			r := pollenreplay.Run(trace, v)
+			failed = failed || len(r.Failed) > 0 && !c.Bool("compare")
+			views = append(views, newResultView(r))
+		}
+	}
+	if err := output(c, views, func(w io.Writer) { writeResults(w, views) }); err != nil {
+		return err
+	}
+	if failed {
+		return &exitError{code: ExitRefused}
+	}
+	return nil
+}
+
+func newResultView(r *pollenreplay.Result) resultView {
+	v := resultView{
+		Trace: r.Trace, Variant: string(r.Variant), Failed: r.Failed, Notes: r.Notes, Figures: map[string]float64{},
+		Refusals: map[string]int{},
+	}
+	for why, n := range r.Refusals {
+		v.Refusals[string(why)] = n
+	}
+	for m, f := range r.Figures {
+		v.Figures[string(m)] = f
+	}
+	return v
+}
+
+// writeResults prints one table for each trace, one column for each variant.
+func writeResults(w io.Writer, views []resultView) {
+	for len(views) > 0 {
+		n := 1
+		for n < len(views) && views[n].Trace == views[0].Trace {
+			n++
+		}
+		writeTable(w, views[:n])
+		views = views[n:]
+	}
+}
+
+func writeTable(w io.Writer, views []resultView) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintf(t, "%s", views[0].Trace)
+	for _, v := range views {
+		_, _ = fmt.Fprintf(t, "\t%s", v.Variant)
+	}
+	_, _ = fmt.Fprintln(t)
+	for _, m := range pollentrace.Measures() {
+		_, _ = fmt.Fprintf(t, "  %s", m)
+		for _, v := range views {
+			_, _ = fmt.Fprintf(t, "\t%s", strconv.FormatFloat(v.Figures[string(m)], 'g', 4, 64))
+		}
+		_, _ = fmt.Fprintln(t)
+	}
+	_ = t.Flush()
+	for _, v := range views {
+		if len(views) > 1 {
+			continue
+		}
+		for _, why := range slices.Sorted(maps.Keys(v.Refusals)) {
+			_, _ = fmt.Fprintf(w, "refused %d: %s\n", v.Refusals[why], why)
+		}
+		for _, f := range v.Failed {
+			_, _ = fmt.Fprintf(w, "FAILED %s\n", f)
+		}
+		for _, note := range v.Notes {
+			_, _ = fmt.Fprintf(w, "note: %s\n", note)
+		}
+	}
+}
--- a/pollendeployment/quickstart.go
+++ b/pollendeployment/quickstart.go
@@ -31,7 +31,7 @@
 		)
 		return pollendocument.Service{
 			Name: pollendocument.ServiceName(name), Address: l.ServiceAddress(len(l.Services)), Delivery: delivery,
-			Slots: slots, Connections: connections, Cold: 1, Queue: queue,
+			Slots: slots, Connections: connections, Cold: 1, WarmUp: backendColdTime, Queue: queue,
 			Deadline: deadline, Retention: retention, Idle: idle,
 		}
 	}
--- a/pollendocument/document.go
+++ b/pollendocument/document.go
@@ -78,6 +78,8 @@
 	// Cold is the number of requests, or of flows being opened, that a backend
 	// server in a cold start bears; at least 1 and at most Slots.
 	Cold int
+	// WarmUp is how long a cold start lasts at least.
+	WarmUp time.Duration
 	// Queue is the number of requests that may wait at one agent.
 	Queue int
 	// Deadline bounds a request that brings no deadline of its own.
--- a/pollendocument/read.go
+++ b/pollendocument/read.go
@@ -24,6 +24,7 @@
 	maxRetention   = 24 * time.Hour
 	minIdle        = time.Second
 	maxIdle        = time.Hour
+	maxWarmUp      = time.Hour
 )
 
 // Defaults of a service's optional values.
@@ -32,6 +33,7 @@
 	defaultDeadline  = 5 * time.Second
 	defaultRetention = 10 * time.Minute
 	defaultIdle      = 90 * time.Second
+	defaultWarmUp    = 5 * time.Second
 )
 
 // Read parses and checks a document text. The error lists every problem with
@@ -112,6 +114,7 @@
 func readService(m *pollenyaml.Mapping) Service {
 	v := Service{
 		Queue: defaultQueue, Deadline: defaultDeadline, Retention: defaultRetention, Idle: defaultIdle, Cold: 1,
+		WarmUp: defaultWarmUp,
 	}
 	pollenyaml.Required(m, "service", &v.Name, pollenyaml.Name[ServiceName]())
 	pollenyaml.Required(m, "address", &v.Address, pollenyaml.AddrPort())
@@ -119,10 +122,12 @@
 	pollenyaml.Required(m, "slots", &v.Slots, pollenyaml.Integer(1, maxSlots))
 	pollenyaml.Required(m, "connections", &v.Connections, pollenyaml.Integer(1, maxConnections))
 	pollenyaml.Optional(m, "cold", &v.Cold, pollenyaml.Integer(1, maxSlots))
+	pollenyaml.Optional(m, "warm-up", &v.WarmUp, pollenyaml.Duration(0, maxWarmUp))
 	pollenyaml.Optional(m, "queue", &v.Queue, pollenyaml.Integer(0, maxQueue))
 	pollenyaml.Optional(m, "deadline", &v.Deadline, pollenyaml.Duration(minDeadline, maxDeadline))
 	pollenyaml.Optional(m, "retention", &v.Retention, pollenyaml.Duration(minRetention, maxRetention))
 	pollenyaml.Optional(m, "idle", &v.Idle, pollenyaml.Duration(minIdle, maxIdle))
-	m.Done("service", "address", "delivery", "slots", "connections", "cold", "queue", "deadline", "retention", "idle")
+	m.Done("service", "address", "delivery", "slots", "connections", "cold", "warm-up", "queue",
+		"deadline", "retention", "idle")
 	return v
 }
--- a/pollendocument/write.go
+++ b/pollendocument/write.go
@@ -45,6 +45,7 @@
 		"slots", strconv.Itoa(v.Slots),
 		"connections", strconv.Itoa(v.Connections),
 		"cold", strconv.Itoa(v.Cold),
+		"warm-up", formatDuration(v.WarmUp),
 		"queue", strconv.Itoa(v.Queue),
 		"deadline", formatDuration(v.Deadline),
 		"retention", formatDuration(v.Retention),
--- a/pollenflow/load.go
+++ b/pollenflow/load.go
@@ -74,5 +74,21 @@
 	}
 }
 
+// EndRequest takes back what AddRequest counted.
+func (l *Loads) EndRequest(now time.Time, name pollendocument.ServerName) {
+	if load, ok := l.heard.Get(now, name); ok && load.Running > 0 {
+		load.Running--
+		l.heard.Put(now, name, load)
+	}
+}
+
+// Full notes that a peer has just refused a request for want of room.
+func (l *Loads) Full(now time.Time, name pollendocument.ServerName) {
+	if load, ok := l.heard.Get(now, name); ok {
+		load.Running = max(load.Running, load.Limit)
+		l.heard.Put(now, name, load)
+	}
+}
+
 // Expire forgets peers that were not heard within the lease.
 func (l *Loads) Expire(now time.Time) { l.heard.Expire(now, nil) }
--- a/pollenflow/placement.go
+++ b/pollenflow/placement.go
@@ -13,18 +13,30 @@
 	Choose(random *rand.Rand, loads []Load, measure Measure) (index int, ok bool)
 }
 
-// A Measure returns how full an agent is, from 0 for idle to 1 for full, and
-// whether it has room.
-type Measure func(l Load) (fullness float64, room bool)
+// A Fullness says how much work an agent has, of how much it may have, and
+// whether it has room for more.
+type Fullness struct {
+	Work, Capacity int
+	Room           bool
+}
+
+// share returns the part of the capacity that the work with extra units more
+// takes.
+func (f Fullness) share(extra float64) float64 {
+	return (float64(f.Work) + extra) / float64(max(1, f.Capacity))
+}
+
+// A Measure returns how full an agent is.
+type Measure func(l Load) Fullness
 
 // FlowFullness measures by open flows.
-func FlowFullness(l Load) (fullness float64, room bool) {
-	return float64(l.Flows) / float64(max(1, l.FlowLimit)), l.Room()
+func FlowFullness(l Load) Fullness {
+	return Fullness{Work: l.Flows, Capacity: l.FlowLimit, Room: l.Room()}
 }
 
 // RequestFullness measures by running and waiting requests.
-func RequestFullness(l Load) (fullness float64, room bool) {
-	return float64(l.Running+l.Waiting) / float64(max(1, l.Limit)), l.Running < l.Limit
+func RequestFullness(l Load) Fullness {
+	return Fullness{Work: l.Running + l.Waiting, Capacity: l.Limit, Room: l.Running < l.Limit}
 }
 
 // Placements holds the registered placement policies.
@@ -48,7 +60,7 @@
 
 // Choose implements Placement.
 func (homeFirst) Choose(random *rand.Rand, loads []Load, measure Measure) (index int, ok bool) {
-	if _, room := measure(loads[0]); room {
+	if measure(loads[0]).Room {
 		return 0, true
 	}
 	return twoChoices{}.Choose(random, loads, measure)
@@ -62,7 +74,7 @@
 	first, second := -1, -1
 	seen := 0
 	for i := range loads {
-		if _, room := measure(loads[i]); !room {
+		if !measure(loads[i]).Room {
 			continue
 		}
 		// Reservoir sampling of two positions among those with room.
@@ -87,33 +99,33 @@
 	if second < 0 {
 		return first, true
 	}
-	a, _ := measure(loads[first])
-	b, _ := measure(loads[second])
-	if b < a {
+	if measure(loads[second]).share(0) < measure(loads[first]).share(0) {
 		return second, true
 	}
 	return first, true
 }
 
-// leastTolerance is how much fuller the agent itself may be than the least
-// full one before a flow is passed on, since passing on costs a hop.
-const leastTolerance = 0.02
+// An agent keeps what it could pass on while it has no more than
+// leastTolerance times the work of the least full agent and one unit more,
+// since passing on costs a hop.
+const leastTolerance = 1.05
 
 // least takes the least full agent, with a preference for the agent itself.
 type least struct{}
 
 // Choose implements Placement.
 func (least) Choose(random *rand.Rand, loads []Load, measure Measure) (index int, ok bool) {
-	best, bestFullness, ties := -1, 0.0, 0
+	best, ties := -1, 0
+	var bestFullness Fullness
 	for i := range loads {
-		fullness, room := measure(loads[i])
-		if !room {
+		fullness := measure(loads[i])
+		if !fullness.Room {
 			continue
 		}
 		switch {
-		case best < 0 || fullness < bestFullness:
+		case best < 0 || fullness.share(0) < bestFullness.share(0):
 			best, bestFullness, ties = i, fullness, 1
-		case fullness == bestFullness:
+		case fullness.share(0) == bestFullness.share(0):
 			ties++
 			if random.IntN(ties) == 0 {
 				best = i
@@ -123,7 +135,9 @@
 	if best < 0 {
 		return 0, false
 	}
-	if own, room := measure(loads[0]); room && own <= bestFullness+leastTolerance {
+	own := measure(loads[0])
+	slack := float64(bestFullness.Work)*(leastTolerance-1) + 1
+	if own.Room && own.share(0) <= bestFullness.share(slack) {
 		return 0, true
 	}
 	return best, true
--- a/pollenledger/replica.go
+++ b/pollenledger/replica.go
@@ -4,6 +4,7 @@
 package pollenledger
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -79,13 +80,16 @@
 	Key     string
 	Claim   ClaimID
 	Epoch   uint64
+	// Revision is that of the asking agent; whoever is behind fetches.
+	Revision pollenview.Revision
 }
 
 // A Reply answers a Request.
 type Reply struct {
-	Verdict Verdict
-	Epoch   uint64
-	Answer  Answer
+	Verdict  Verdict
+	Epoch    uint64
+	Revision pollenview.Revision
+	Answer   Answer
 }
 
 // A Settlement tells a replica how a claim ended.
@@ -102,6 +106,9 @@
 	Service pollendocument.ServiceName
 	// Epoch is that of the new group.
 	Epoch uint64
+	// Revision is that of the asking agent, which is at From.
+	Revision pollenview.Revision
+	From     netip.AddrPort
 }
 
 // A SyncReply answers a SyncRequest; Entries counts only when OK is set.
@@ -285,7 +292,7 @@
 
 // Claim answers an agent that wants to run a keyed request.
 func (r *Replica) Claim(now time.Time, q Request) Reply {
-	reply := Reply{Epoch: r.group.Epoch}
+	reply := Reply{Epoch: r.group.Epoch, Revision: r.view.Revision}
 	switch {
 	case q.Service != r.service || q.Epoch != r.group.Epoch || !slices.Contains(r.group.Replicas, r.self):
 		reply.Verdict = VerdictBehind
--- a/pollenlog/cluster_test.go
+++ b/pollenlog/cluster_test.go
@@ -259,7 +259,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		schedules++
 		c := newCluster(t, rapid.SampledFrom([]int{3, 5}).Draw(t, "size"))
-		for range rapid.IntRange(20, 150).Draw(t, "steps") {
+		for range rapid.IntRange(20, 80).Draw(t, "steps") {
 			steps++
 			c.randomStep(t)
 		}
@@ -268,45 +268,65 @@
 	t.Logf("%d schedules, %d steps", schedules, steps)
 }
 
-func (c *cluster) randomStep(t *rapid.T) {
-	r := c.replicas[rapid.IntRange(0, len(c.replicas)-1).Draw(t, "replica")]
-	switch rapid.IntRange(0, 13).Draw(t, "action") {
-	case 0, 1, 2:
-		c.run(time.Duration(rapid.IntRange(1, 30).Draw(t, "ticks")) * tick)
-	case 3, 4:
+// chaos lets ticks pass while messages are delivered in any order, late, or
+// not at all.
+func (c *cluster) chaos(t *rapid.T, ticks int) {
+	loss := rapid.IntRange(0, 50).Draw(t, "loss")
+	for range ticks {
 		c.now = c.now.Add(tick)
-		if !r.down && !r.frozen {
-			c.step(r, pollenlog.Tick{})
+		for _, r := range c.replicas {
+			if !r.down && !r.frozen {
+				c.step(r, pollenlog.Tick{})
+			}
 		}
-	case 5, 6:
-		if len(c.wire) > 0 {
-			c.deliver(rapid.IntRange(0, len(c.wire)-1).Draw(t, "message"))
+		for n := len(c.wire); n > 0; n-- {
+			at := rapid.IntRange(0, len(c.wire)-1).Draw(t, "message")
+			switch fate := rapid.IntRange(0, 99).Draw(t, "fate"); {
+			case fate < loss:
+				c.wire = append(c.wire[:at], c.wire[at+1:]...)
+			case fate < 85:
+				c.deliver(at)
+			}
+			if len(c.wire) == 0 {
+				break
+			}
 		}
-	case 7:
+	}
+}
+
+func (c *cluster) randomStep(t *rapid.T) {
+	r := c.replicas[rapid.IntRange(0, len(c.replicas)-1).Draw(t, "replica")]
+	switch rapid.IntRange(0, 11).Draw(t, "action") {
+	case 0:
+		c.run(time.Duration(rapid.IntRange(1, 60).Draw(t, "ticks")) * tick)
+	case 1, 2, 3:
+		c.chaos(t, rapid.IntRange(1, 40).Draw(t, "ticks"))
+	case 4:
 		if len(c.wire) > 0 {
 			at := rapid.IntRange(0, len(c.wire)-1).Draw(t, "doubled")
 			c.wire = append(c.wire, c.wire[at])
 		}
-	case 8:
-		if len(c.wire) > 0 {
-			at := rapid.IntRange(0, len(c.wire)-1).Draw(t, "lost")
-			c.wire = append(c.wire[:at], c.wire[at+1:]...)
+	case 5:
+		if l := c.leader(); l != nil && rapid.Bool().Draw(t, "leader") {
+			r = l
 		}
-	case 9:
 		if r.down {
 			c.boot(r)
 		} else {
 			r.down = true
 		}
-	case 10:
+	case 6:
 		r.frozen = !r.frozen
-	case 11:
+	case 7:
 		r.cut = !r.cut
-	case 12:
-		if l := c.leader(); l != nil {
+	case 8, 9, 10:
+		// Whoever thinks that it leads may be asked.
+		if !r.down && !r.frozen && r.node.Status().Role == pollenlog.RoleLeader {
+			c.propose(r, fmt.Sprintf("command %d", c.token))
+		} else if l := c.leader(); l != nil {
 			c.propose(l, fmt.Sprintf("command %d", c.token))
 		}
-	case 13:
+	case 11:
 		c.leaderStep(t, r)
 	}
 }
--- /dev/null
+++ b/pollenreplay/balancer.go
@@ -0,0 +1,112 @@
+package pollenreplay
+
+import (
+	"fmt"
+	"net/netip"
+
+	"pollenstep.example/pollenstep/pollenbalancer"
+	"pollenstep.example/pollenstep/pollendocument"
+	"pollenstep.example/pollenstep/pollenflow"
+	"pollenstep.example/pollenstep/pollenview"
+)
+
+// balancer runs the routes of one balancer.
+type balancer struct {
+	*process
+	world   *world
+	routes  *pollenbalancer.Routes
+	present map[pollendocument.ServiceName]*pollenbalancer.Route
+	// leaving is set while the fabric no longer sends here.
+	leaving bool
+	// table is the flow table of VariantTable.
+	table map[tableKey]pollenbalancer.Target
+}
+
+type tableKey struct {
+	service pollendocument.ServiceName
+	key     pollenflow.Key
+}
+
+func (w *world) addBalancer(number int) {
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 2, 0, byte(number + 1)}), portProcess)
+	p := w.newProcess(fmt.Sprintf("balancer-%d", number+1), pollenview.RoleBalancer, number, address)
+	b := &balancer{process: p, world: w}
+	p.balancer = b
+	w.balancers = append(w.balancers, b)
+	w.boot(p)
+	b.boot()
+	w.join(p)
+}
+
+func (b *balancer) boot() {
+	b.leaving = false
+	b.routes = pollenbalancer.NewRoutes()
+	b.present = map[pollendocument.ServiceName]*pollenbalancer.Route{}
+	b.table = map[tableKey]pollenbalancer.Target{}
+}
+
+func (b *balancer) changeView() {
+	for _, c := range b.routes.Update(b.replica.View()) {
+		if c.Gone {
+			delete(b.present, c.Route.Service)
+		} else {
+			b.present[c.Route.Service] = c.Route
+		}
+	}
+}
+
+// takes reports whether the fabric sends to the balancer.
+func (b *balancer) takes() bool { return b.up && !b.leaving && b.replica.Revision() > 0 }
+
+// decide returns the agent for a packet.
+func (b *balancer) decide(service pollendocument.ServiceName, key pollenflow.Key) (pollenbalancer.Target, bool) {
+	route, ok := b.present[service]
+	if !ok {
+		return pollenbalancer.Target{}, false
+	}
+	switch b.world.variant {
+	case VariantHash:
+		return b.decideHash(route, key)
+	case VariantTable:
+		return b.decideTable(route, key)
+	default:
+		target, ok := route.Decide(key)
+		if !ok {
+			return pollenbalancer.Target{}, false
+		}
+		return *target, true
+	}
+}
+
+func (b *balancer) decideHash(route *pollenbalancer.Route, key pollenflow.Key) (pollenbalancer.Target, bool) {
+	view := b.replica.View()
+	var taking []pollenview.Member
+	for _, m := range view.Agents(route.Service) {
+		if view.TakesNewWork(m) {
+			taking = append(taking, m)
+		}
+	}
+	if len(taking) == 0 {
+		return pollenbalancer.Target{}, false
+	}
+	m := taking[int(pollenflow.BucketOf(route.Digest, key))%len(taking)]
+	return pollenbalancer.Target{Address: m.Address, Digest: pollenflow.DigestOf(m.Name)}, true
+}
+
+func (b *balancer) decideTable(route *pollenbalancer.Route, key pollenflow.Key) (pollenbalancer.Target, bool) {
+	at := tableKey{service: route.Service, key: key}
+	if known, ok := b.table[at]; ok {
+		view := b.replica.View()
+		for _, m := range view.Agents(route.Service) {
+			if m.Address == known.Address {
+				return known, true
+			}
+		}
+	}
+	target, ok := route.Decide(key)
+	if !ok {
+		return pollenbalancer.Target{}, false
+	}
+	b.table[at] = *target
+	return *target, true
+}
--- /dev/null
+++ b/pollenreplay/request.go
@@ -0,0 +1,443 @@
+package pollenreplay
+
+import (
+	"fmt"
+	"time"
+
+	"pollenstep.example/pollenstep/pollenadmission"
+	"pollenstep.example/pollenstep/pollenagent"
+	"pollenstep.example/pollenstep/pollenflow"
+	"pollenstep.example/pollenstep/pollenkernel"
+	"pollenstep.example/pollenstep/pollenledger"
+	"pollenstep.example/pollenstep/pollenrequest"
+)
+
+// client is a caller with a connection that an agent ends.
+type client struct {
+	load *serviceLoad
+	key  pollenflow.Key
+	// edge is the agent that ends the connection; nil when there is none.
+	edge *agent
+}
+
+// attempt is one try of a request.
+type attempt struct {
+	request *clientRequest
+	done    bool
+}
+
+// clientRequest is a request as the caller sees it.
+type clientRequest struct {
+	client   *client
+	body     string
+	key      string
+	sent     time.Time
+	deadline time.Time
+	tries    int
+}
+
+// call is a request inside an agent.
+type call struct {
+	key  string
+	body string
+	// respond gives the end to whoever asked.
+	respond func(result pollenrequest.Result, why pollenkernel.Refusal, answer pollenledger.Answer, execution pollenkernel.Execution)
+	lost    bool
+	// cancelled ends a run early.
+	cancelled bool
+}
+
+// maxTries is how often a caller tries a keyed request.
+const maxTries = 4
+
+func (l *serviceLoad) beginRequests() {
+	w := l.world
+	clients := max(4, min(400, l.service.Rate))
+	for range clients {
+		l.clients = append(l.clients, &client{load: l, key: l.newKey()})
+	}
+	var next func()
+	next = func() {
+		l.sendRequest()
+		mean := float64(time.Second) / float64(l.service.Rate) * 100 / float64(w.rate)
+		w.after(time.Duration(w.random.ExpFloat64()*mean), next)
+	}
+	next()
+}
+
+func (l *serviceLoad) sendRequest() {
+	w := l.world
+	if w.end.Sub(w.now) < l.service.Document.Deadline {
+		return
+	}
+	l.sent++
+	r := &clientRequest{
+		client: l.clients[w.random.IntN(len(l.clients))], body: fmt.Sprintf("%s-%d", l.service.Document.Name, l.sent),
+		sent: w.now, deadline: w.now.Add(l.service.Document.Deadline),
+	}
+	if w.random.IntN(100) < l.service.Keyed {
+		r.key = r.body
+	}
+	w.measures.requests++
+	w.measures.second(r.sent).sent++
+	r.try()
+}
+
+// try sends the request once more.
+func (r *clientRequest) try() {
+	w := r.client.load.world
+	r.tries++
+	edge := r.client.connect()
+	if edge == nil {
+		r.again(true)
+		return
+	}
+	a := &attempt{request: r}
+	w.after(w.trace.Latency, func() { edge.arrive(a) })
+	// A caller that hears nothing gives up after the deadline.
+	w.after(r.client.load.service.Document.Deadline+2*w.trace.Latency, func() {
+		if !a.done {
+			a.done = true
+			r.client.drop(edge)
+			r.again(r.key != "")
+		}
+	})
+}
+
+// again tries once more, or counts the request as refused.
+func (r *clientRequest) again(may bool) {
+	w := r.client.load.world
+	if !may || r.tries >= maxTries {
+		w.measures.refused++
+		return
+	}
+	const pause = 100 * time.Millisecond
+	w.after(pause, r.try)
+}
+
+// connect returns the agent that ends the client's connection, opening a new
+// one when there is none.
+func (c *client) connect() *agent {
+	if c.edge != nil {
+		return c.edge
+	}
+	w := c.load.world
+	b := w.pickBalancer()
+	if b == nil {
+		return nil
+	}
+	c.key = c.load.newKey()
+	target, ok := b.decide(c.load.service.Document.Name, c.key)
+	if !ok {
+		return nil
+	}
+	p := pollenagent.Packet{
+		Key: c.key, Service: pollenflow.DigestOf(c.load.service.Document.Name), Target: target.Digest,
+		From: b.address, Balancer: b.address, Revision: b.replica.Revision(), Opens: true,
+	}
+	to := target.Address
+	for range pollenagent.MaxHops * pollenagent.MaxHops {
+		a := w.byAddress[to].agent
+		if !a.up || !a.restored {
+			return nil
+		}
+		d := a.decide(&p)
+		switch d.Kind {
+		case pollenagent.DecisionDeliver:
+			c.edge = a
+			return a
+		case pollenagent.DecisionDrop:
+			return nil
+		}
+		p.From, p.Target, p.Assigned, p.Search = a.address, d.Target, d.Assigned, d.Search
+		p.SearchIndex, p.Hops = d.SearchIndex, d.Hops
+		to = d.To
+	}
+	return nil
+}
+
+// drop ends the client's connection to the agent.
+func (c *client) drop(edge *agent) {
+	if c.edge != edge {
+		return
+	}
+	c.edge = nil
+	if edge.up {
+		edge.act(edge.flows.CloseEnded(edge.world.now, c.key))
+	}
+}
+
+// edgeLost ends every client's connection to an agent that stops or leaves.
+func (l *serviceLoad) edgeLost(a *agent) {
+	for _, c := range l.clients {
+		c.drop(a)
+	}
+}
+
+// arrive takes a caller's request.
+func (a *agent) arrive(t *attempt) {
+	w := a.world
+	r := t.request
+	if !a.up {
+		if a.planned {
+			w.measures.cutRequests++
+			w.measures.note("%s: request %s reached %s after its planned stop", w.now.Sub(w.start), r.body, a.name)
+		}
+		return
+	}
+	c := &call{key: r.key, body: r.body}
+	c.respond = func(result pollenrequest.Result, why pollenkernel.Refusal, answer pollenledger.Answer, execution pollenkernel.Execution) {
+		w.after(w.trace.Latency, func() { t.answered(result, why, answer, execution) })
+	}
+	a.begin(c, r.deadlineFor(w.now), false)
+}
+
+func (r *clientRequest) deadlineFor(now time.Time) time.Time {
+	return now.Add(r.client.load.service.Document.Deadline)
+}
+
+// answered takes the end of an attempt.
+func (t *attempt) answered(result pollenrequest.Result, _ pollenkernel.Refusal, answer pollenledger.Answer, execution pollenkernel.Execution) {
+	if t.done {
+		return
+	}
+	t.done = true
+	r := t.request
+	l := r.client.load
+	m := &l.world.measures
+	if result == pollenrequest.ResultAnswered {
+		if string(answer.Body) != r.body {
+			m.wrongAnswer++
+			m.note("request %s was answered %q", r.body, answer.Body)
+		}
+		m.answered++
+		m.completed++
+		if !l.world.now.After(r.deadline) {
+			m.second(r.sent).answered++
+		}
+		return
+	}
+	if execution == pollenkernel.ExecutionNotRun && l.executions[r.body] > 0 {
+		m.notRunFalse++
+		m.note("request %s was refused as not run after it ran", r.body)
+	}
+	if execution == pollenkernel.ExecutionUnknown {
+		m.unknown++
+	}
+	r.again(r.key != "")
+}
+
+// begin passes a request to the agent's state machine.
+func (a *agent) begin(c *call, deadline time.Time, forwarded bool) {
+	a.nextID++
+	a.calls[a.nextID] = c
+	a.step(pollenrequest.Arrival{ID: a.nextID, Key: c.key, Deadline: deadline, Forwarded: forwarded})
+}
+
+// step passes an event to the state machine and carries out the actions.
+func (a *agent) step(e pollenrequest.Event) {
+	events := []pollenrequest.Event{e}
+	for len(events) > 0 {
+		next := events[0]
+		events = events[1:]
+		for _, action := range a.requests.Step(a.world.now, next) {
+			events = append(events, a.actRequest(action)...)
+		}
+	}
+}
+
+func (a *agent) actRequest(action pollenrequest.Action) []pollenrequest.Event {
+	w := a.world
+	switch action := action.(type) {
+	case pollenrequest.Run:
+		a.runHere(action.ID)
+	case pollenrequest.RunAt:
+		a.runThere(action)
+	case pollenrequest.CancelRun:
+		if c, ok := a.calls[action.ID]; ok {
+			c.cancelled = true
+		}
+	case pollenrequest.SendClaim:
+		return a.sendClaim(action)
+	case pollenrequest.Settle:
+		return a.sendSettlement(action)
+	case pollenrequest.Answered:
+		a.finish(action.ID, pollenrequest.ResultAnswered, "", action.Answer, pollenkernel.ExecutionDone)
+	case pollenrequest.Refuse:
+		w.measures.refusals[action.Why]++
+		result := pollenrequest.ResultFailed
+		if action.Execution == pollenkernel.ExecutionNotRun {
+			result = pollenrequest.ResultNotSent
+		}
+		a.finish(action.ID, result, action.Why, pollenledger.Answer{}, action.Execution)
+	case pollenrequest.Retried:
+		w.measures.retries++
+	}
+	return nil
+}
+
+func (a *agent) finish(
+	id pollenrequest.ID, result pollenrequest.Result, why pollenkernel.Refusal,
+	answer pollenledger.Answer, execution pollenkernel.Execution,
+) {
+	c, ok := a.calls[id]
+	if !ok {
+		return
+	}
+	delete(a.calls, id)
+	c.respond(result, why, answer, execution)
+}
+
+// runHere runs a request on the agent's backend server.
+func (a *agent) runHere(id pollenrequest.ID) {
+	w := a.world
+	c := a.calls[id]
+	incarnation := a.member.Incarnation
+	w.checkOut(a.process)
+	w.checkDrain(a.process)
+	tell := func(done pollenrequest.RunDone) {
+		if a.up && a.member.Incarnation == incarnation {
+			a.step(done)
+		}
+	}
+	if !a.backend.begin() {
+		w.after(0, func() {
+			tell(pollenrequest.RunDone{ID: id, Result: pollenrequest.ResultShed, Signal: pollenadmission.SignalOverload})
+		})
+		return
+	}
+	a.load.executions[c.body]++
+	if c.key != "" && a.load.executions[c.body] > 1 {
+		w.measures.doubled++
+		w.measures.note("%s: request %s ran again, at %s", w.now.Sub(w.start), c.body, a.name)
+	}
+	began := w.now
+	stamp := a.backend.stamp
+	a.runUntil(c, w.now.Add(a.backend.workTime()), func() {
+		a.backend.end()
+		a.backend.busy += w.now.Sub(began)
+		done := pollenrequest.RunDone{ID: id, Result: pollenrequest.ResultAnswered}
+		switch {
+		case c.cancelled:
+			done.Result = pollenrequest.ResultFailed
+		case a.backend.stamp != stamp:
+			done.Result, done.Signal = pollenrequest.ResultFailed, pollenadmission.SignalRefused
+		default:
+			done.Answer = pollenledger.Answer{Status: 200, Body: []byte(c.body)}
+			done.Signal = a.limiter.Judge(w.now.Sub(began))
+		}
+		tell(done)
+	})
+}
+
+// runUntil calls done when the work is over or was cancelled.
+func (a *agent) runUntil(c *call, over time.Time, done func()) {
+	const poll = 10 * time.Millisecond
+	w := a.world
+	if !w.now.Before(over) || c.cancelled {
+		done()
+		return
+	}
+	w.after(min(poll, over.Sub(w.now)), func() { a.runUntil(c, over, done) })
+}
+
+// runThere passes a request to another agent.
+func (a *agent) runThere(action pollenrequest.RunAt) {
+	w := a.world
+	c := a.calls[action.ID]
+	incarnation := a.member.Incarnation
+	tell := func(done pollenrequest.RemoteDone) {
+		if a.up && a.member.Incarnation == incarnation {
+			a.step(done)
+		}
+	}
+	w.after(w.trace.Latency, func() {
+		other := w.byAddress[action.To.Address]
+		if !other.up || !other.agent.restored {
+			w.after(w.trace.Latency, func() {
+				tell(pollenrequest.RemoteDone{ID: action.ID, Result: pollenrequest.ResultNotSent, Why: pollenkernel.RefusalBackendFailed})
+			})
+			return
+		}
+		remote := &call{key: c.key, body: c.body}
+		answered := false
+		remote.respond = func(result pollenrequest.Result, why pollenkernel.Refusal, answer pollenledger.Answer, _ pollenkernel.Execution) {
+			w.after(w.trace.Latency, func() {
+				answered = true
+				tell(pollenrequest.RemoteDone{ID: action.ID, Result: result, Why: why, Answer: answer})
+			})
+		}
+		other.agent.begin(remote, action.Deadline, true)
+		var watch func()
+		watch = func() {
+			// The connection breaks when the other agent ends.
+			if answered {
+				return
+			}
+			if remote.lost || w.now.After(action.Deadline.Add(claimRetry)) {
+				tell(pollenrequest.RemoteDone{ID: action.ID, Result: pollenrequest.ResultFailed, Why: pollenkernel.RefusalBackendFailed})
+				return
+			}
+			if c.cancelled {
+				remote.cancelled = true
+			}
+			w.after(drainPoll, watch)
+		}
+		watch()
+	})
+}
+
+func (a *agent) sendClaim(action pollenrequest.SendClaim) []pollenrequest.Event {
+	w := a.world
+	var events []pollenrequest.Event
+	incarnation := a.member.Incarnation
+	for _, m := range action.Replicas {
+		if m.Name == a.member.Name {
+			events = append(events, pollenrequest.ClaimReply{
+				ID: action.ID, Claim: action.Request.Claim, Reply: a.ledger.Claim(w.now, action.Request),
+			})
+			continue
+		}
+		w.after(w.trace.Latency, func() {
+			other := w.byAddress[m.Address]
+			reply := pollenledger.Reply{Verdict: pollenledger.VerdictIncomplete}
+			if other.up && other.member.Incarnation == m.Incarnation {
+				w.hear(other, action.Request.Revision)
+				reply = other.agent.ledger.Claim(w.now, action.Request)
+			}
+			w.after(w.trace.Latency, func() {
+				if a.up && a.member.Incarnation == incarnation {
+					w.hear(a.process, reply.Revision)
+					a.step(pollenrequest.ClaimReply{ID: action.ID, Claim: action.Request.Claim, Reply: reply})
+				}
+			})
+		})
+	}
+	return events
+}
+
+func (a *agent) sendSettlement(action pollenrequest.Settle) []pollenrequest.Event {
+	w := a.world
+	var events []pollenrequest.Event
+	incarnation := a.member.Incarnation
+	for _, m := range action.Replicas {
+		if m.Name == a.member.Name {
+			a.ledger.Settle(w.now, action.Settlement)
+			events = append(events, pollenrequest.Stored{ID: action.ID})
+			continue
+		}
+		w.after(w.trace.Latency, func() {
+			other := w.byAddress[m.Address]
+			if !other.up || other.member.Incarnation != m.Incarnation {
+				return
+			}
+			other.agent.ledger.Settle(w.now, action.Settlement)
+			w.after(w.trace.Latency, func() {
+				if a.up && a.member.Incarnation == incarnation {
+					a.step(pollenrequest.Stored{ID: action.ID})
+				}
+			})
+		})
+	}
+	return events
+}
--- a/pollenrequest/claim.go
+++ b/pollenrequest/claim.go
@@ -22,7 +22,9 @@
 	}
 	n.emit(SendClaim{
 		ID: r.ID, Replicas: replicas,
-		Request: pollenledger.Request{Service: n.service.Name, Key: r.Key, Claim: r.claim, Epoch: r.epoch},
+		Request: pollenledger.Request{
+			Service: n.service.Name, Key: r.Key, Claim: r.claim, Epoch: r.epoch, Revision: n.view.Revision,
+		},
 	})
 }
 
--- a/pollenrequest/node.go
+++ b/pollenrequest/node.go
@@ -151,7 +151,11 @@
 // stop of the agent alone is no reason to keep requests from it.
 func (n *Node) leaving() bool {
 	self, ok := n.view.Members[n.config.Self.Name]
-	return ok && !n.stopping && !n.view.TakesNewWork(self)
+	if ok && n.stopping {
+		// The agent announced the drain itself.
+		self.State = pollendocument.ServerActive
+	}
+	return ok && !n.view.TakesNewWork(self)
 }
 
 func (n *Node) arrive(a Arrival) {
--- a/pollenrequest/place.go
+++ b/pollenrequest/place.go
@@ -15,15 +15,22 @@
 // place runs a request here, passes it to another agent, queues it or refuses
 // it.
 func (n *Node) place(r *request) {
+	if len(n.queue) > 0 || !n.placeNow(r) {
+		n.enqueue(r)
+	}
+}
+
+// placeNow gives a request to whoever has room; ok is false when nobody has.
+func (n *Node) placeNow(r *request) (ok bool) {
 	if to, ok := n.choosePeer(r); ok {
 		n.runAt(r, to)
-		return
+		return true
 	}
-	if len(n.queue) == 0 && !n.leaving() && n.config.Limiter.Begin() {
-		n.run(r)
-		return
+	if n.leaving() || !n.config.Limiter.Begin() {
+		return false
 	}
-	n.enqueue(r)
+	n.run(r)
+	return true
 }
 
 // choosePeer returns another agent with room, unless the agent itself is the
@@ -63,8 +70,6 @@
 // enqueue lets a request wait for a slot here if it can be served in time.
 func (n *Node) enqueue(r *request) {
 	switch {
-	case n.leaving():
-		n.refuse(r, pollenkernel.RefusalDraining)
 	case len(n.queue) >= n.service.Queue:
 		n.refuse(r, pollenkernel.RefusalQueueFull)
 	case n.now.Add(n.expectedWait()).After(r.Deadline):
@@ -90,11 +95,10 @@
 			n.queue = n.queue[1:]
 			continue
 		}
-		if !n.config.Limiter.Begin() {
+		if !n.placeNow(r) {
 			return
 		}
 		n.queue = n.queue[1:]
-		n.run(r)
 	}
 }
 
@@ -106,7 +110,7 @@
 	if e.Signal == "" {
 		n.config.Limiter.Cancel()
 	} else {
-		n.config.Limiter.End(e.Signal)
+		n.config.Limiter.End(n.now, e.Signal)
 	}
 	if e.Signal == pollenadmission.SignalSuccess {
 		const smoothing = 8
@@ -121,10 +125,12 @@
 	if !ok || r.stage != stageRemote {
 		return
 	}
-	if e.Result == ResultNotSent && e.Why != pollenkernel.RefusalDeadline {
-		n.config.Loads.Hear(n.now, pollenflow.Load{Name: lastTried(r), Limit: 0})
+	n.config.Loads.EndRequest(n.now, lastTried(r))
+	if e.Result == ResultNotSent {
+		n.config.Loads.Full(n.now, lastTried(r))
 	}
 	n.conclude(r, e.Result, e.Why, e.Answer)
+	n.serveQueue()
 }
 
 func lastTried(r *request) pollendocument.ServerName { return r.tried[len(r.tried)-1] }
--- a/pollensidecar/flow.go
+++ b/pollensidecar/flow.go
@@ -34,9 +34,7 @@
 	a.base.Metrics.Count(pollenmetric.EventPacketIn, 1)
 	a.membership.Lock()
 	defer a.membership.Unlock()
-	if h.Revision > a.membership.View().Revision {
-		a.membership.StepLocked(now, pollenmember.RevisionHeard{From: from, Revision: h.Revision})
-	}
+	a.hear(now, from, h.Revision)
 	if a.flows == nil || !a.restored {
 		a.base.Metrics.Refused(pollenkernel.RefusalNotReady)
 		return
@@ -73,6 +71,13 @@
 	}
 }
 
+// hear fetches a newer view from a process that holds one. The lock is held.
+func (a *Sidecar) hear(now time.Time, from netip.AddrPort, revision pollenview.Revision) {
+	if revision > a.membership.View().Revision {
+		a.membership.StepLocked(now, pollenmember.RevisionHeard{From: from, Revision: revision})
+	}
+}
+
 // deliver passes a packet to the backend server or to the agent's own front.
 // The lock is held.
 func (a *Sidecar) deliver(d pollenagent.Decision, payload []byte) {
@@ -89,7 +94,7 @@
 		var err error
 		if r, err = a.openRelay(d.Record, d.Record.Port); err != nil {
 			a.base.Log.WithError(err).Error("relay socket cannot be opened")
-			a.act(a.flows.CloseEnded(key))
+			a.act(a.flows.CloseEnded(time.Now(), key))
 			return
 		}
 		a.base.Metrics.Count(pollenmetric.EventFlowOpened, 1)
@@ -170,7 +175,7 @@
 	if !errors.Is(err, syscall.ECONNREFUSED) || a.flows == nil {
 		return
 	}
-	if record, closed := a.flows.Failed(key); closed {
+	if record, closed := a.flows.Failed(time.Now(), key); closed {
 		a.base.Metrics.Refused(pollenkernel.RefusalBackendFailed)
 		a.closeFlow(record)
 	}
@@ -192,7 +197,7 @@
 	}
 }
 
-func (a *Sidecar) takeRegistrations(_ *pollenwire.Header, _ netip.AddrPort, buffer []byte, size int) {
+func (a *Sidecar) takeRegistrations(h *pollenwire.Header, from netip.AddrPort, buffer []byte, size int) {
 	var registrations []pollenflow.Registration
 	payload := buffer[pollenwire.HeaderSize : pollenwire.HeaderSize+size]
 	if err := pollenwire.Unmarshal(payload, &registrations, pollenwire.MapRegistrations); err != nil {
@@ -201,12 +206,14 @@
 	}
 	a.membership.Lock()
 	defer a.membership.Unlock()
+	now := time.Now()
+	a.hear(now, from, h.Revision)
 	if a.flows != nil {
-		a.flows.Registered(time.Now(), registrations)
+		a.flows.Registered(now, registrations)
 	}
 }
 
-func (a *Sidecar) takeLoad(_ *pollenwire.Header, _ netip.AddrPort, buffer []byte, size int) {
+func (a *Sidecar) takeLoad(h *pollenwire.Header, from netip.AddrPort, buffer []byte, size int) {
 	var load pollenflow.Load
 	payload := buffer[pollenwire.HeaderSize : pollenwire.HeaderSize+size]
 	if err := pollenwire.Unmarshal(payload, &load, pollenwire.MapLoad); err != nil {
@@ -215,8 +222,10 @@
 	}
 	a.membership.Lock()
 	defer a.membership.Unlock()
+	now := time.Now()
+	a.hear(now, from, h.Revision)
 	if a.flows != nil {
-		a.flows.LoadHeard(time.Now(), load)
+		a.flows.LoadHeard(now, load)
 	}
 }
 
@@ -236,6 +245,7 @@
 	if a.self.Service != service {
 		return
 	}
+	a.limiter.Resume(kept.Stamp, kept.Limit)
 	restored := int64(0)
 	for _, k := range kept.Records {
 		if a.restoreFlow(now, k) {
@@ -263,7 +273,7 @@
 	}
 	if _, err := a.openRelay(record, k.Port); err != nil {
 		a.base.Log.WithError(err).Warn("flow not taken back")
-		a.act(a.flows.CloseEnded(k.Key))
+		a.act(a.flows.CloseEnded(now, k.Key))
 		return false
 	}
 	return true
@@ -308,9 +318,6 @@
 	kept := a.flows.Export()
 	keepers := a.flows.Keepers()
 	a.membership.Unlock()
-	if len(kept.Records) == 0 {
-		return
-	}
 	request := pollenwire.Marshal(&kept, pollenwire.MapKept)
 	for _, to := range keepers {
 		if _, err := a.base.Client.Call(ctx, to, pollencall.MethodKeep, request); err != nil {
--- a/pollensidecar/front.go
+++ b/pollensidecar/front.go
@@ -108,7 +108,7 @@
 	a.membership.Lock()
 	defer a.membership.Unlock()
 	if a.flows != nil {
-		a.act(a.flows.CloseEnded(udp.AddrPort()))
+		a.act(a.flows.CloseEnded(time.Now(), udp.AddrPort()))
 	}
 }
 
--- a/pollensidecar/ledger.go
+++ b/pollensidecar/ledger.go
@@ -50,7 +50,9 @@
 	}
 	a.membership.Lock()
 	defer a.membership.Unlock()
-	a.stepRequests(time.Now(), pollenrequest.ClaimReply{ID: action.ID, Claim: action.Request.Claim, Reply: reply})
+	now := time.Now()
+	a.hear(now, to.Address, reply.Revision)
+	a.stepRequests(now, pollenrequest.ClaimReply{ID: action.ID, Claim: action.Request.Claim, Reply: reply})
 }
 
 // sendSettlement tells every replica. The lock is held.
@@ -95,7 +97,9 @@
 	defer a.membership.Unlock()
 	reply := pollenledger.Reply{Verdict: pollenledger.VerdictIncomplete}
 	if a.ledger != nil {
-		reply = a.ledger.Claim(time.Now(), q)
+		now := time.Now()
+		a.hear(now, a.membership.View().Members[q.Claim.Agent].Address, q.Revision)
+		reply = a.ledger.Claim(now, q)
 	}
 	if reply.Verdict == pollenledger.VerdictGranted {
 		a.base.Metrics.Count(pollenmetric.EventClaimGranted, 1)
@@ -125,7 +129,9 @@
 	defer a.membership.Unlock()
 	var reply pollenledger.SyncReply
 	if a.ledger != nil {
-		reply = a.ledger.Sync(time.Now(), q)
+		now := time.Now()
+		a.hear(now, q.From, q.Revision)
+		reply = a.ledger.Sync(now, q)
 	}
 	return pollenwire.Marshal(&reply, pollenwire.MapSyncReply), nil
 }
@@ -148,7 +154,10 @@
 func (a *Sidecar) callSync(epoch uint64, from pollenview.Member) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	request := pollenledger.SyncRequest{Service: a.self.Service, Epoch: epoch}
+	a.membership.Lock()
+	request := pollenledger.SyncRequest{Service: a.self.Service, Epoch: epoch, From: a.self.Address}
+	request.Revision = a.membership.View().Revision
+	a.membership.Unlock()
 	answer, err := a.base.Client.Call(ctx, from.Address, pollencall.MethodSync, pollenwire.Marshal(&request, pollenwire.MapSyncRequest))
 	var reply pollenledger.SyncReply
 	if err != nil || pollenwire.Unmarshal(answer, &reply, pollenwire.MapSyncReply) != nil {
--- a/pollensidecar/request.go
+++ b/pollensidecar/request.go
@@ -253,6 +253,7 @@
 		GotConn:              func(httptrace.GotConnInfo) { connected = true },
 	})
 	response, err := a.do(ctx, b, p.call)
+	now := time.Now()
 	a.membership.Lock()
 	defer a.membership.Unlock()
 	switch {
@@ -261,7 +262,7 @@
 	case err == nil:
 		done.Result, done.Answer = pollenrequest.ResultAnswered, response
 		done.Signal = a.limiter.Judge(firstByte.Sub(began))
-		if a.limiter.Stamp(fieldValue(response, headerStart)) {
+		if a.limiter.Stamp(now, fieldValue(response, headerStart)) {
 			a.base.Metrics.Count(pollenmetric.EventBackendCold, 1)
 		}
 	case !connected:
@@ -273,7 +274,7 @@
 	default:
 		done.Result, done.Signal = pollenrequest.ResultFailed, pollenadmission.SignalRefused
 	}
-	a.stepRequests(time.Now(), done)
+	a.stepRequests(now, done)
 }
 
 // do sends the request and reads the whole answer.
--- a/pollensidecar/sidecar.go
+++ b/pollensidecar/sidecar.go
@@ -139,7 +139,7 @@
 	a.dropRelays()
 	a.self.Service = service
 	// The limits of the document follow with the next view.
-	a.limiter = pollenadmission.NewLimiter(pollenadmission.Limits{Slots: 1, Cold: 1, Connections: 1}, a.ramp)
+	a.limiter = pollenadmission.NewLimiter(now, pollenadmission.Limits{Slots: 1, Cold: 1, Connections: 1}, a.ramp)
 	a.flows = pollenagent.NewFlows(now, pollenagent.Config{
 		Self: a.self, Limiter: a.limiter, Placement: a.placement, Window: window, Lease: directory,
 		OpenTimeout: openTimeout, SearchRate: searchRate, Generations: generations, Seed: uint64(a.self.Incarnation),
--- a/pollentrace/read.go
+++ b/pollentrace/read.go
@@ -81,8 +81,10 @@
 	pollenyaml.Optional(m, "work", &s.Work, pollenyaml.Duration(time.Millisecond, time.Minute))
 	pollenyaml.Optional(m, "keyed", &s.Keyed, pollenyaml.Integer(0, percent))
 	pollenyaml.Optional(m, "cold-time", &s.ColdTime, pollenyaml.Duration(0, time.Minute))
+	d.WarmUp = s.ColdTime
+	pollenyaml.Optional(m, "warm-up", &d.WarmUp, pollenyaml.Duration(0, time.Hour))
 	m.Done("service", "delivery", "targets", "slots", "connections", "cold", "queue", "deadline", "retention",
-		"flows", "interval", "rate", "work", "keyed", "cold-time")
+		"flows", "interval", "rate", "work", "keyed", "cold-time", "warm-up")
 	return s
 }
 
--- a/pollenwire/agent.go
+++ b/pollenwire/agent.go
@@ -32,6 +32,8 @@
 	unsigned(c, &k.Incarnation)
 	text(c, &k.Service)
 	boolean(c, &k.Full)
+	text(c, &k.Stamp)
+	signed(c, &k.Limit)
 	list(c, &k.Records, func(c *Codec, r *pollenagent.KeptRecord) {
 		address(c, &r.Key)
 		port := uint32(r.Port)
@@ -48,6 +50,7 @@
 	text(c, &r.Key)
 	mapClaimID(c, &r.Claim)
 	unsigned(c, &r.Epoch)
+	unsigned(c, &r.Revision)
 }
 
 func mapClaimID(c *Codec, id *pollenledger.ClaimID) {
@@ -60,6 +63,7 @@
 func MapClaimReply(c *Codec, r *pollenledger.Reply) {
 	text(c, &r.Verdict)
 	unsigned(c, &r.Epoch)
+	unsigned(c, &r.Revision)
 	MapAnswer(c, &r.Answer)
 }
 
@@ -86,6 +90,8 @@
 func MapSyncRequest(c *Codec, r *pollenledger.SyncRequest) {
 	text(c, &r.Service)
 	unsigned(c, &r.Epoch)
+	unsigned(c, &r.Revision)
+	address(c, &r.From)
 }
 
 // MapSyncReply maps the claims of a replica.
--- a/pollenwire/view.go
+++ b/pollenwire/view.go
@@ -98,6 +98,7 @@
 	signed(c, &s.Slots)
 	signed(c, &s.Connections)
 	signed(c, &s.Cold)
+	duration(c, &s.WarmUp)
 	signed(c, &s.Queue)
 	duration(c, &s.Deadline)
 	duration(c, &s.Retention)
