--- a/pollenagent/flows.go
+++ b/pollenagent/flows.go
@@ -88,6 +88,8 @@
 	searches  budget
 	keeping   keeper
 	swept     time.Time
+	// running is the smoothed number of units of work.
+	running float64
 }
 
 type generation struct {
--- a/pollenagent/view.go
+++ b/pollenagent/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -163,8 +164,13 @@
 // sweepInterval is the time between looks at idle flows and due renewals.
 const sweepInterval = time.Second
 
+// runningSmoothing is the weight of the present work in its average, at each
+// Tick.
+const runningSmoothing = 0.1
+
 // Tick drops what is idle and renews what is due.
 func (f *Flows) Tick(now time.Time) []Action {
+	f.running += (float64(f.config.Limiter.Usage().Running) - f.running) * runningSmoothing
 	if now.Sub(f.swept) < sweepInterval {
 		return nil
 	}
@@ -217,6 +223,7 @@
 // sendLoads tells the load to the peers, or to a random few of many.
 func (f *Flows) sendLoads() []Action {
 	load := f.Load()
+	load.Running = int(math.Round(f.running))
 	if f.Draining() {
 		load.Limit = 0
 	}
--- a/pollenflow/load.go
+++ b/pollenflow/load.go
@@ -12,7 +12,9 @@
 type Load struct {
 	Name        pollendocument.ServerName
 	Incarnation pollenview.Incarnation
-	// Running is the number of requests being run or of flows being opened.
+	// Running is the number of requests being run or of flows being opened. A
+	// message tells its recent average, since the present number is out of date
+	// when it arrives.
 	Running int
 	// Waiting is the number of queued requests.
 	Waiting int
@@ -39,54 +41,79 @@
 }
 
 // Loads remembers the last Load of each peer, corrected by what was sent to
-// the peer since.
+// the peer since. It is not safe for concurrent use.
 type Loads struct {
-	heard *Leased[pollendocument.ServerName, Load]
+	heard *Leased[pollendocument.ServerName, *peerLoad]
 }
 
+type peerLoad struct {
+	load Load
+	// outstanding is the number of requests passed to the peer that have not
+	// ended.
+	outstanding int
+	// fullUntil is when a refusal for want of room is forgotten.
+	fullUntil time.Time
+}
+
+// fullPause is how long a peer that had no room is not asked again. It is
+// short, since room comes free as soon as any request ends.
+const fullPause = 20 * time.Millisecond
+
 // NewLoads returns a new Loads that forgets a peer after the lease.
 func NewLoads(lease time.Duration) *Loads {
-	return &Loads{heard: NewLeased[pollendocument.ServerName, Load](lease)}
+	return &Loads{heard: NewLeased[pollendocument.ServerName, *peerLoad](lease)}
 }
 
 // Hear records a peer's load.
-func (l *Loads) Hear(now time.Time, load Load) { l.heard.Put(now, load.Name, load) }
+func (l *Loads) Hear(now time.Time, load Load) {
+	p, ok := l.heard.Get(now, load.Name)
+	if !ok {
+		p = &peerLoad{}
+	}
+	p.load = load
+	l.heard.Put(now, load.Name, p)
+}
 
 // Get returns a peer's load; ok is false when nothing recent is known.
-func (l *Loads) Get(now time.Time, name pollendocument.ServerName) (Load, bool) {
-	return l.heard.Get(now, name)
+func (l *Loads) Get(now time.Time, name pollendocument.ServerName) (load Load, ok bool) {
+	p, ok := l.heard.Get(now, name)
+	if !ok {
+		return Load{}, false
+	}
+	load = p.load
+	load.Running = max(load.Running, p.outstanding)
+	if now.Before(p.fullUntil) {
+		load.Running = max(load.Running, load.Limit)
+	}
+	return load, true
 }
 
-// AddFlow counts a flow that was assigned to a peer.
+// AddFlow counts a flow that was assigned to a peer, until it is heard again.
 func (l *Loads) AddFlow(now time.Time, name pollendocument.ServerName) {
-	if load, ok := l.heard.Get(now, name); ok {
-		load.Flows++
-		load.Running++
-		l.heard.Put(now, name, load)
+	if p, ok := l.heard.Get(now, name); ok {
+		p.load.Flows++
+		p.load.Running++
 	}
 }
 
 // AddRequest counts a request that was passed to a peer.
 func (l *Loads) AddRequest(now time.Time, name pollendocument.ServerName) {
-	if load, ok := l.heard.Get(now, name); ok {
-		load.Running++
-		l.heard.Put(now, name, load)
+	if p, ok := l.heard.Get(now, name); ok {
+		p.outstanding++
 	}
 }
 
 // EndRequest takes back what AddRequest counted.
 func (l *Loads) EndRequest(now time.Time, name pollendocument.ServerName) {
-	if load, ok := l.heard.Get(now, name); ok && load.Running > 0 {
-		load.Running--
-		l.heard.Put(now, name, load)
+	if p, ok := l.heard.Get(now, name); ok && p.outstanding > 0 {
+		p.outstanding--
 	}
 }
 
 // Full notes that a peer has just refused a request for want of room.
 func (l *Loads) Full(now time.Time, name pollendocument.ServerName) {
-	if load, ok := l.heard.Get(now, name); ok {
-		load.Running = max(load.Running, load.Limit)
-		l.heard.Put(now, name, load)
+	if p, ok := l.heard.Get(now, name); ok {
+		p.fullUntil = now.Add(fullPause)
 	}
 }
 
--- a/pollenrequest/place.go
+++ b/pollenrequest/place.go
@@ -26,6 +26,11 @@
 		n.runAt(r, to)
 		return true
 	}
+	return n.runNow(r)
+}
+
+// runNow runs a request here; ok is false when there is no room.
+func (n *Node) runNow(r *request) (ok bool) {
 	if n.leaving() || !n.config.Limiter.Begin() {
 		return false
 	}
@@ -87,15 +92,16 @@
 	return time.Duration(rounds) * n.average
 }
 
-// serveQueue runs waiting requests while there is room.
-func (n *Node) serveQueue() {
+// serveQueue gives waiting requests to whoever has room.
+func (n *Node) serveQueue() { n.serve(n.placeNow) }
+
+// serveLocal runs waiting requests while there is room here.
+func (n *Node) serveLocal() { n.serve(n.runNow) }
+
+func (n *Node) serve(place func(r *request) (ok bool)) {
 	for len(n.queue) > 0 {
-		r, ok := n.requests[n.queue[0]]
-		if !ok || r.stage != stageQueued {
-			n.queue = n.queue[1:]
-			continue
-		}
-		if !n.placeNow(r) {
+		r := n.requests[n.queue[0]]
+		if !place(r) {
 			return
 		}
 		n.queue = n.queue[1:]
@@ -151,18 +157,20 @@
 			n.refuse(r, why)
 			return
 		}
-		n.replace(r, why)
+		n.replace(r)
 	case ResultFailed:
 		n.settle(r, pollenledger.ClaimUnknown)
 		n.finish(r, Refuse{ID: r.ID, Why: why, Execution: pollenkernel.ExecutionUnknown})
 	}
 }
 
-// replace places a request again, within the budget for retries.
-func (n *Node) replace(r *request, why pollenkernel.Refusal) {
+// replace places a request again, within the budget for retries. Beyond it the
+// request waits for a slot here, which asks nothing of other agents.
+func (n *Node) replace(r *request) {
 	if n.retries < 1 {
 		n.emit(Counted{Why: pollenkernel.RefusalRetryBudget})
-		n.refuse(r, why)
+		n.enqueue(r)
+		n.serveLocal()
 		return
 	}
 	n.retries--
