--- a/pollenreplay/event.go
+++ b/pollenreplay/event.go
@@ -51,7 +51,7 @@
 		w.setServer(p, func(s *pollendocument.Server) { s.State = pollendocument.ServerActive })
 	case pollentrace.EventWeight:
 		const least, spread = 50, 101
-		weight := least + w.random.IntN(spread)
+		weight := least + w.drawn.IntN(spread)
 		w.setServer(p, func(s *pollendocument.Server) { s.Weight = weight })
 	case pollentrace.EventRestart:
 		w.restart(p)
@@ -78,8 +78,8 @@
 	for i := range e.Count {
 		w.after(time.Duration(i)*e.Interval, func() {
 			for {
-				p := w.processes[w.random.IntN(len(w.processes))]
-				kind := kinds[w.random.IntN(len(kinds))]
+				p := w.processes[w.drawn.IntN(len(w.processes))]
+				kind := kinds[w.drawn.IntN(len(kinds))]
 				if w.mayHappen(p, kind) {
 					w.happenTo(p, kind)
 					return
--- a/pollenreplay/world.go
+++ b/pollenreplay/world.go
@@ -64,9 +64,11 @@
 	trace   *pollentrace.Trace
 	variant Variant
 	random  *rand.Rand
-	start   time.Time
-	now     time.Time
-	end     time.Time
+	// drawn makes the planned changes, so that every variant meets the same.
+	drawn *rand.Rand
+	start time.Time
+	now   time.Time
+	end   time.Time
 
 	queue    schedule
 	sequence uint64
@@ -172,7 +174,8 @@
 func newWorld(t *pollentrace.Trace, variant Variant) *world {
 	start := time.Unix(1_000_000_000, 0).UTC()
 	w := &world{
-		trace: t, variant: variant, random: rand.New(rand.NewPCG(t.Seed, 1)), start: start, now: start,
+		trace: t, variant: variant, random: rand.New(rand.NewPCG(t.Seed, 1)),
+		drawn: rand.New(rand.NewPCG(t.Seed, 2)), start: start, now: start,
 		truth: pollenview.NewView(), byAddress: map[netip.AddrPort]*process{}, rate: 100,
 	}
 	w.measures = newMeasures()
