--- a/pollenagent/keep.go
+++ b/pollenagent/keep.go
@@ -28,8 +28,11 @@
 	Incarnation pollenview.Incarnation
 	// Service guards against records of another service under the same name.
 	Service pollendocument.ServiceName
-	// Full is set when Records are all there are; else they are added, and
-	// Removed taken away.
+	// Version counts the copies that an incarnation gave. Full is set when
+	// Records are all there are; else they are added to the copy of version
+	// Base, and Removed taken away.
+	Version uint64
+	Base    uint64
 	Full    bool
 	Records []KeptRecord
 	// Stamp and Limit tell what the backend server bore at its present start.
@@ -38,11 +41,21 @@
 	Removed []pollenflow.Key
 }
 
+// Newer reports whether the copy is later than another one.
+func (k Kept) Newer(than Kept) bool {
+	if k.Incarnation != than.Incarnation {
+		return k.Incarnation > than.Incarnation
+	}
+	return k.Version > than.Version
+}
+
 // A keeper remembers what the keepers of this agent's records lack.
 type keeper struct {
 	// peers holds the incarnations that were given everything.
 	peers []pollenview.ReplicaRef
 	dirty map[pollenflow.Key]struct{}
+	// version is that of the last copy.
+	version uint64
 }
 
 func (k *keeper) changed(key pollenflow.Key) {
@@ -61,15 +74,16 @@
 	}
 	var actions []Action
 	var peers []pollenview.ReplicaRef
+	delta := f.keepDelta()
 	for _, m := range f.keepers() {
 		peer := pollenview.ReplicaRef{Name: m.Name, Incarnation: m.Incarnation}
 		peers = append(peers, peer)
 		if !slices.Contains(f.keeping.peers, peer) {
-			actions = append(actions, Keep{To: m.Address, Kept: f.Export()})
+			actions = append(actions, Keep{Peer: peer, To: m.Address, Kept: f.Export()})
 			continue
 		}
-		if delta := f.keepDelta(); len(delta.Records)+len(delta.Removed) > 0 {
-			actions = append(actions, Keep{To: m.Address, Kept: delta})
+		if len(delta.Records)+len(delta.Removed) > 0 {
+			actions = append(actions, Keep{Peer: peer, To: m.Address, Kept: delta})
 		}
 	}
 	f.keeping.peers = peers
@@ -77,15 +91,28 @@
 	return actions
 }
 
+// KeepFailed notes that a keeper may lack what it was given, so that it is given
+// everything again.
+func (f *Flows) KeepFailed(peer pollenview.ReplicaRef) {
+	f.keeping.peers = slices.DeleteFunc(f.keeping.peers, func(p pollenview.ReplicaRef) bool { return p == peer })
+}
+
 func (f *Flows) newKept() Kept {
 	return Kept{
 		Name: f.config.Self.Name, Incarnation: f.config.Self.Incarnation, Service: f.config.Self.Service,
-		Stamp: f.config.Limiter.StampNow(), Limit: f.config.Limiter.Usage().Limit,
+		Version: f.keeping.version,
+		Stamp:   f.config.Limiter.StampNow(), Limit: f.config.Limiter.Usage().Limit,
 	}
 }
 
+// keepDelta returns what changed since the last copy, as a new version.
 func (f *Flows) keepDelta() Kept {
+	base := f.keeping.version
+	if len(f.keeping.dirty) > 0 {
+		f.keeping.version++
+	}
 	kept := f.newKept()
+	kept.Base = base
 	for key := range f.keeping.dirty {
 		if r, ok := f.records[key]; ok {
 			kept.Records = append(kept.Records, KeptRecord{Key: key, Port: r.Port, Seen: r.Seen})
@@ -148,6 +175,7 @@
 type vaultEntry struct {
 	incarnation pollenview.Incarnation
 	service     pollendocument.ServiceName
+	version     uint64
 	records     map[pollenflow.Key]KeptRecord
 	stamp       string
 	limit       int
@@ -157,25 +185,30 @@
 // NewVault returns a new empty Vault.
 func NewVault() *Vault { return &Vault{kept: map[pollendocument.ServerName]*vaultEntry{}} }
 
-// Put stores what a peer gives. What an earlier incarnation gave stays until
-// the later one has given everything.
-func (v *Vault) Put(now time.Time, k Kept) {
+// Put stores what a peer gives; ok is false when it does not follow the copy
+// that is held, and everything must be given again.
+func (v *Vault) Put(now time.Time, k Kept) (ok bool) {
 	e := v.kept[k.Name]
-	if e != nil && (e.incarnation > k.Incarnation || e.service != k.Service && !k.Full) {
-		return
-	}
-	if e == nil || k.Full {
+	switch {
+	case e != nil && e.incarnation > k.Incarnation:
+		return true
+	case k.Full:
+	case e == nil || e.incarnation != k.Incarnation || e.service != k.Service || e.version != k.Base:
+		return false
+	}
+	if k.Full {
 		e = &vaultEntry{records: make(map[pollenflow.Key]KeptRecord, len(k.Records))}
 		v.kept[k.Name] = e
 	}
 	e.incarnation, e.service, e.updated = k.Incarnation, k.Service, now
-	e.stamp, e.limit = k.Stamp, k.Limit
+	e.version, e.stamp, e.limit = k.Version, k.Stamp, k.Limit
 	for _, r := range k.Records {
 		e.records[r.Key] = r
 	}
 	for _, key := range k.Removed {
 		delete(e.records, key)
 	}
+	return true
 }
 
 // Get returns everything that is kept for a peer.
@@ -184,7 +217,7 @@
 	if !ok || e.service != service {
 		return Kept{}, false
 	}
-	k := Kept{Name: name, Incarnation: e.incarnation, Service: e.service, Full: true, Stamp: e.stamp, Limit: e.limit}
+	k := Kept{Name: name, Incarnation: e.incarnation, Service: e.service, Full: true, Version: e.version, Stamp: e.stamp, Limit: e.limit}
 	for _, r := range e.records {
 		k.Records = append(k.Records, r)
 	}
--- a/pollenagent/view.go
+++ b/pollenagent/view.go
@@ -33,6 +33,7 @@
 
 // A Keep gives records to a peer for safe keeping.
 type Keep struct {
+	Peer pollenview.ReplicaRef
 	To   netip.AddrPort
 	Kept Kept
 }
--- a/pollenprocess/membership.go
+++ b/pollenprocess/membership.go
@@ -17,7 +17,7 @@
 
 // Timing of the member loop.
 const (
-	HeartbeatInterval = time.Second
+	HeartbeatInterval = 500 * time.Millisecond
 	// StartBound is how long a start waits for a majority of control hosts.
 	StartBound   = 3 * time.Second
 	fetchTimeout = 2 * time.Second
--- a/pollenquorum/quorum.go
+++ b/pollenquorum/quorum.go
@@ -32,7 +32,7 @@
 	maxAppend             = 256
 	compactEvery          = 1000
 	inlineLimit           = 1100
-	lease                 = 5 * time.Second
+	lease                 = 2 * time.Second
 	checkInterval         = 100 * time.Millisecond
 	waitBound             = 5 * time.Second
 	guardLeast            = 2
--- a/pollenreplay/agent.go
+++ b/pollenreplay/agent.go
@@ -117,7 +117,7 @@
 		if other == a || !other.up {
 			continue
 		}
-		if k, ok := other.vault.Get(a.member.Name, a.member.Service); ok && k.Incarnation > latest.Incarnation {
+		if k, ok := other.vault.Get(a.member.Name, a.member.Service); ok && k.Newer(latest) {
 			latest = k
 		}
 	}
@@ -196,10 +196,10 @@
 				}
 			})
 		case pollenagent.Keep:
-			kept := action.Kept
-			w.deliver(func() {
-				if p := w.byAddress[action.To]; p.up {
-					p.agent.vault.Put(w.now, kept)
+			w.after(w.trace.Latency, func() {
+				p := w.byAddress[action.To]
+				if kept := p.up && p.agent.vault.Put(w.now, action.Kept); !kept && a.up {
+					a.flows.KeepFailed(action.Peer)
 				}
 			})
 		}
--- a/pollenreplay/load.go
+++ b/pollenreplay/load.go
@@ -24,8 +24,9 @@
 
 // Parameters of callers.
 const (
-	// silence is how long a flow may go unanswered before it counts as broken.
-	silence = 5 * time.Second
+	// silence is how long a flow may go unanswered before it counts as broken;
+	// QUIC's usual idle timeout is three times as long.
+	silence = 10 * time.Second
 	// openRetry is the time between two opening packets, and openBound how
 	// long a caller tries from one address.
 	openRetry = 300 * time.Millisecond
@@ -56,8 +57,10 @@
 	load *serviceLoad
 	key  pollenflow.Key
 	// holder is the agent whose backend server first answered.
-	holder   *agent
-	began    time.Time
+	holder *agent
+	began  time.Time
+	// opened is when the first answer came.
+	opened   time.Time
 	answered time.Time
 	closed   bool
 }
@@ -112,7 +115,7 @@
 	switch {
 	case m.outEver[f.holder.domain]:
 		m.brokenOut++
-	case !f.holder.up && !f.holder.planned:
+	case f.unkept() || f.holder.wasKilled.After(f.answered.Add(-f.load.service.Interval)):
 		m.brokenUnplanned++
 	default:
 		m.brokenPlanned++
@@ -121,6 +124,17 @@
 	}
 }
 
+// keepInterval is the time between two copies of an agent's records to its
+// keepers.
+const keepInterval = time.Second
+
+// unkept reports whether the flow's holder was killed before the record of the
+// flow can have reached a keeper.
+func (f *flow) unkept() bool {
+	killed := f.holder.wasKilled
+	return killed.After(f.began) && killed.Sub(f.opened) <= keepInterval+f.load.world.trace.Latency
+}
+
 func (f *flow) close() {
 	f.closed = true
 	for _, a := range f.load.agents {
@@ -224,6 +238,7 @@
 	}
 	if f.holder == nil {
 		f.holder = a
+		f.opened = f.load.world.now
 	}
 	if f.holder == a {
 		f.answered = f.load.world.now
--- a/pollensidecar/flow.go
+++ b/pollensidecar/flow.go
@@ -303,7 +303,7 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			if k.Incarnation > latest.Incarnation || k.Incarnation == latest.Incarnation && len(k.Records) > len(latest.Records) {
+			if k.Newer(latest) {
 				latest = k
 			}
 		})
--- a/pollensidecar/sidecar.go
+++ b/pollensidecar/sidecar.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"pollenstep.example/pollenstep/pollenadmission"
 	"pollenstep.example/pollenstep/pollenagent"
 	"pollenstep.example/pollenstep/pollencall"
@@ -233,6 +235,9 @@
 	defer cancel()
 	if _, err := a.base.Client.Call(ctx, k.To, pollencall.MethodKeep, pollenwire.Marshal(&k.Kept, pollenwire.MapKept)); err != nil {
 		a.base.Metrics.Count(pollenmetric.EventSendFailed, 1)
+		a.membership.Lock()
+		defer a.membership.Unlock()
+		a.flows.KeepFailed(k.Peer)
 	}
 }
 
@@ -243,7 +248,9 @@
 	}
 	a.membership.Lock()
 	defer a.membership.Unlock()
-	a.vault.Put(time.Now(), k)
+	if !a.vault.Put(time.Now(), k) {
+		return nil, errors.New("the copy does not follow the one that is held")
+	}
 	return nil, nil
 }
 
--- a/pollenwire/agent.go
+++ b/pollenwire/agent.go
@@ -31,6 +31,8 @@
 	text(c, &k.Name)
 	unsigned(c, &k.Incarnation)
 	text(c, &k.Service)
+	unsigned(c, &k.Version)
+	unsigned(c, &k.Base)
 	boolean(c, &k.Full)
 	text(c, &k.Stamp)
 	signed(c, &k.Limit)
