--- a/pollenbalancer/routes.go
+++ b/pollenbalancer/routes.go
@@ -26,8 +26,8 @@
 	// Revision is that of the view the route was made from, or of a later one
 	// that did not change it.
 	Revision pollenview.Revision
-	// targets holds one entry for each bucket; it is empty when the service
-	// has no agent.
+	homes    *pollenflow.Homes
+	// targets holds one entry for each member of homes, in its order.
 	targets []Target
 	agents  []pollenview.Member
 	weights []int
@@ -36,10 +36,11 @@
 // Decide returns the agent for a flow; ok is false when the service has none.
 // It allocates nothing.
 func (r *Route) Decide(key pollenflow.Key) (target *Target, ok bool) {
-	if len(r.targets) == 0 {
+	at, ok := r.homes.Index(pollenflow.BucketOf(r.Digest, key))
+	if !ok {
 		return nil, false
 	}
-	return &r.targets[pollenflow.BucketOf(r.Digest, key)], true
+	return &r.targets[at], true
 }
 
 // Routes holds the route of every service. It is not safe for concurrent use.
@@ -99,11 +100,9 @@
 		Service: s.Name, Address: s.Address, Digest: pollenflow.DigestOf(s.Name),
 		Revision: view.Revision, agents: agents, weights: weights,
 	}
-	homes := pollenflow.HomesOf(view, agents)
-	for b := range pollenflow.BucketCount {
-		if home, ok := homes.Home(pollenflow.Bucket(b)); ok {
-			route.targets = append(route.targets, Target{Address: home.Address, Digest: pollenflow.DigestOf(home.Name)})
-		}
+	route.homes = pollenflow.HomesOf(view, agents)
+	for _, m := range route.homes.Members() {
+		route.targets = append(route.targets, Target{Address: m.Address, Digest: pollenflow.DigestOf(m.Name)})
 	}
 	r.routes[s.Name] = route
 	return route
--- /dev/null
+++ b/pollenbalancer/routes_test.go
@@ -0,0 +1,143 @@
+package pollenbalancer_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"pollenstep.example/pollenstep/pollenbalancer"
+	"pollenstep.example/pollenstep/pollendocument"
+	"pollenstep.example/pollenstep/pollenflow"
+	"pollenstep.example/pollenstep/pollenview"
+)
+
+// newView returns a view with the services and agents of each.
+func newView(services, agents int) *pollenview.View {
+	v := pollenview.NewView()
+	domains := pollendocument.Section{Team: pollendocument.DomainsTeam}
+	for i := range 3 {
+		domains.Domains = append(domains.Domains, pollendocument.Domain{
+			Name: pollendocument.DomainName(fmt.Sprintf("d%d", i)), State: pollendocument.DomainIn,
+		})
+	}
+	v.Document.Put(domains)
+	team := pollendocument.Section{Team: "team"}
+	for i := range services {
+		name := pollendocument.ServiceName(fmt.Sprintf("s%04d", i))
+		team.Services = append(team.Services, pollendocument.Service{
+			Name: name, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 9, byte(i >> 8), byte(i)}), 4430),
+		})
+		for j := range agents {
+			m := pollenview.Member{
+				Name: pollendocument.ServerName(fmt.Sprintf("%s-%d", name, j)), Role: pollenview.RoleAgent, Service: name,
+				Domain: pollendocument.DomainName(fmt.Sprintf("d%d", j%3)), State: pollendocument.ServerActive,
+				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 8, byte(i), byte(j)}), 7000),
+			}
+			v.Members[m.Name] = m
+		}
+	}
+	v.Document.Put(team)
+	v.Revision = 1
+	return v
+}
+
+// TestUpdateOnlyWhatChanged checks that a change of one service's agents
+// replaces that service's route alone.
+func TestUpdateOnlyWhatChanged(t *testing.T) {
+	v := newView(20, 4)
+	r := pollenbalancer.NewRoutes()
+	if got := len(r.Update(v)); got != 20 {
+		t.Fatalf("%d routes at first, want 20", got)
+	}
+	if got := len(r.Update(v)); got != 0 {
+		t.Fatalf("%d routes changed with nothing", got)
+	}
+	m := v.Members["s0003-1"]
+	m.State = pollendocument.ServerDraining
+	v.Members[m.Name] = m
+	changes := r.Update(v)
+	if len(changes) != 1 || changes[0].Route.Service != "s0003" {
+		t.Fatalf("changes %+v, want that of s0003", changes)
+	}
+	for port := range uint16(2000) {
+		target, ok := changes[0].Route.Decide(netip.AddrPortFrom(netip.MustParseAddr("192.0.2.1"), port+1))
+		if !ok || target.Address == m.Address {
+			t.Fatalf("new flows go to a draining agent")
+		}
+	}
+}
+
+// TestDomainOutMovesOnlyItsBuckets checks that flows of the domains that stay
+// keep their home.
+func TestDomainOutMovesOnlyItsBuckets(t *testing.T) {
+	v := newView(1, 6)
+	before := pollenflow.NewHomes(v, "s0000")
+	section := v.Document.Section(pollendocument.DomainsTeam)
+	section.Domains[0].State = pollendocument.DomainOut
+	after := pollenflow.NewHomes(v, "s0000")
+	for b := range pollenflow.Bucket(pollenflow.BucketCount) {
+		was, _ := before.Home(b)
+		is, _ := after.Home(b)
+		if is.Domain == "d0" || (was.Domain != "d0" && was.Name != is.Name) {
+			t.Fatalf("bucket %d went from %s in %s to %s in %s", b, was.Name, was.Domain, is.Name, is.Domain)
+		}
+	}
+}
+
+// TestOpensFlow checks the recognition of QUIC initial packets.
+func TestOpensFlow(t *testing.T) {
+	for _, c := range []struct {
+		packet []byte
+		want   bool
+	}{
+		{[]byte{0xc0, 0, 0, 0, 1, 8}, true},
+		{[]byte{0xcf, 0, 0, 0, 1}, true},
+		{[]byte{0xe0, 0, 0, 0, 1}, false},
+		{[]byte{0xd0, 0x6b, 0x33, 0x43, 0xcf}, true},
+		{[]byte{0xc0, 0x6b, 0x33, 0x43, 0xcf}, false},
+		{[]byte{0x40, 0, 0, 0, 1}, false},
+		{[]byte{0xc0, 0, 0}, false},
+		{nil, false},
+	} {
+		if got := pollenbalancer.OpensFlow(c.packet); got != c.want {
+			t.Errorf("packet %x opens %t, want %t", c.packet, got, c.want)
+		}
+	}
+}
+
+func BenchmarkDecideBalancer(b *testing.B) {
+	r := pollenbalancer.NewRoutes()
+	route := r.Update(newView(1, 7))[0].Route
+	caller := netip.MustParseAddrPort("192.0.2.1:50000")
+	b.ReportAllocs()
+	for range b.N {
+		if _, ok := route.Decide(caller); !ok {
+			b.Fatal("no agent")
+		}
+	}
+}
+
+// BenchmarkRoutesFull builds every route at the planned size.
+func BenchmarkRoutesFull(b *testing.B) {
+	v := newView(1800, 3)
+	b.ReportAllocs()
+	for range b.N {
+		pollenbalancer.NewRoutes().Update(v)
+	}
+}
+
+// BenchmarkRoutesChange follows one change of members at the planned size.
+func BenchmarkRoutesChange(b *testing.B) {
+	v := newView(1800, 3)
+	r := pollenbalancer.NewRoutes()
+	r.Update(v)
+	m := v.Members["s0003-1"]
+	b.ReportAllocs()
+	for i := range b.N {
+		m.Incarnation = pollenview.Incarnation(i + 1)
+		v.Members[m.Name] = m
+		if got := len(r.Update(v)); got != 1 {
+			b.Fatalf("%d routes changed", got)
+		}
+	}
+}
--- a/pollenflow/homes.go
+++ b/pollenflow/homes.go
@@ -81,10 +81,20 @@
 // Home returns the home agent of a bucket; ok is false when the service has no
 // agent.
 func (h *Homes) Home(b Bucket) (home *pollenview.Member, ok bool) {
-	if h == nil || len(h.buckets) == 0 {
+	at, ok := h.Index(b)
+	if !ok {
 		return nil, false
 	}
-	return &h.members[h.buckets[b]], true
+	return &h.members[at], true
+}
+
+// Index returns the position in Members of the home agent of a bucket; ok is
+// false when the service has no agent.
+func (h *Homes) Index(b Bucket) (at int, ok bool) {
+	if h == nil || len(h.buckets) == 0 {
+		return 0, false
+	}
+	return int(h.buckets[b]), true
 }
 
 // Members returns the agents that are homes, sorted by name.
--- a/pollenlog/node_test.go
+++ b/pollenlog/node_test.go
@@ -206,3 +206,64 @@
 		}
 	}
 }
+
+// A vote that was given outlasts a restart.
+func TestVoteOutlastsRestart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(t, 3)
+		voter := c.replicas[0]
+		c.now = c.now.Add(4 * election)
+		ask := func(from pollenlog.ReplicaID) bool {
+			c.wire = nil
+			c.step(voter, pollenlog.Receive{Message: pollenlog.Message{
+				Kind: pollenlog.MessageVote, From: from, To: voter.id, Address: addressOf(from), Term: 7,
+				Index: 1, LogTerm: 1, Forced: true,
+			}})
+			return len(c.wire) == 1 && c.wire[0].Kind == pollenlog.MessageVoteReply && !c.wire[0].Reject
+		}
+		// A candidate that lacks entries moves the term without getting a vote.
+		c.step(voter, pollenlog.Receive{Message: pollenlog.Message{
+			Kind: pollenlog.MessageVote, From: 3, To: voter.id, Address: addressOf(3), Term: 7, Forced: true,
+		}})
+		if !ask(2) {
+			t.Fatalf("no vote for the first candidate")
+		}
+		c.boot(voter)
+		if ask(3) {
+			t.Fatalf("a second vote in the same term after a restart")
+		}
+		if !ask(2) {
+			t.Fatalf("the first vote was not repeated")
+		}
+	})
+}
+
+// A leader commits entries of earlier terms only together with one of its own.
+func TestCommitsOnlyOwnTerm(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(t, 3)
+		leader := c.replicas[0]
+		leader.disk.Entries = []pollenlog.Entry{{Index: 2, Term: 2, Kind: pollenlog.EntryCommand, Data: []byte("old")}}
+		leader.disk.Hard.Term = 3
+		c.boot(leader)
+		c.now = c.now.Add(4 * election)
+		c.step(leader, pollenlog.Tick{})
+		for _, kind := range []pollenlog.MessageKind{pollenlog.MessagePreVoteReply, pollenlog.MessageVoteReply} {
+			c.step(leader, pollenlog.Receive{Message: pollenlog.Message{
+				Kind: kind, From: 2, To: leader.id, Address: addressOf(2), Term: 4,
+			}})
+		}
+		held := func(at pollenlog.Index) pollenlog.Index {
+			c.step(leader, pollenlog.Receive{Message: pollenlog.Message{
+				Kind: pollenlog.MessageAppendReply, From: 2, To: leader.id, Address: addressOf(2), Term: 4, Index: at,
+			}})
+			return leader.node.Status().Commit
+		}
+		if got := held(2); got != 1 {
+			t.Fatalf("committed up to %d with a majority for an entry of an earlier term only", got)
+		}
+		if got := held(3); got != 3 {
+			t.Fatalf("committed up to %d with a majority for the leader's own entry", got)
+		}
+	})
+}
--- a/pollenreplay/replay_test.go
+++ b/pollenreplay/replay_test.go
@@ -99,7 +99,7 @@
 	http.Name, http.Delivery, http.Address = "rings", pollendocument.DeliveryHTTP, address(2)
 	trace.Services = []pollentrace.Service{
 		{Document: relay, Targets: 5, Flows: 40, Interval: 500 * time.Millisecond, ColdTime: 2 * time.Second, Work: 40 * time.Millisecond},
-		{Document: http, Targets: 5, Rate: 60, Work: 40 * time.Millisecond, Keyed: 80, ColdTime: 2 * time.Second},
+		{Document: http, Targets: 5, Rate: 60, Work: 40 * time.Millisecond, Keyed: 80, Again: 30, ColdTime: 2 * time.Second},
 	}
 	for range rapid.IntRange(1, 12).Draw(t, "events") {
 		trace.Events = append(trace.Events, randomEvents(t)...)
--- a/pollenreplay/request.go
+++ b/pollenreplay/request.go
@@ -34,6 +34,8 @@
 	sent     time.Time
 	deadline time.Time
 	tries    int
+	// repeat is set when the caller has had the answer already.
+	repeat bool
 }
 
 // call is a request inside an agent.
@@ -108,7 +110,9 @@
 func (r *clientRequest) again(may bool) {
 	w := r.client.load.world
 	if !may || r.tries >= maxTries {
-		w.measures.refused++
+		if !r.repeat {
+			w.measures.refused++
+		}
 		return
 	}
 	const pause = 100 * time.Millisecond
@@ -210,6 +214,10 @@
 			m.wrongAnswer++
 			m.note("request %s was answered %q", r.body, answer.Body)
 		}
+		if r.repeat {
+			return
+		}
+		r.repeatLater()
 		m.answered++
 		m.completed++
 		if !l.world.now.After(r.deadline) {
@@ -227,6 +235,26 @@
 	r.again(r.key != "")
 }
 
+// againSpread is the longest time after which a caller repeats a request.
+const againSpread = 20 * time.Second
+
+// repeatLater lets the caller send a request once more.
+func (r *clientRequest) repeatLater() {
+	l := r.client.load
+	w := l.world
+	if r.key == "" || w.random.IntN(100) >= l.service.Again {
+		return
+	}
+	pause := time.Duration(w.random.Int64N(int64(againSpread)))
+	w.after(pause, func() {
+		again := *r
+		again.repeat = true
+		again.tries = 0
+		again.client = l.clients[w.random.IntN(len(l.clients))]
+		again.try()
+	})
+}
+
 // begin passes a request to the agent's state machine.
 func (a *agent) begin(c *call, deadline time.Time, forwarded bool) {
 	a.nextID++
--- /dev/null
+++ b/pollensettings/settings_test.go
@@ -0,0 +1,38 @@
+package pollensettings_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+
+	"pollenstep.example/pollenstep/pollensettings"
+)
+
+// TestCases reads every settings file in testdata/cases, whose name starts
+// with the role, and compares what Read says of it with the golden file.
+func TestCases(t *testing.T) {
+	files, err := filepath.Glob("testdata/cases/*.yaml")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no cases: %v", err)
+	}
+	g := goldie.New(t, goldie.WithFixtureDir("testdata/cases"))
+	for _, file := range files {
+		name := strings.TrimSuffix(filepath.Base(file), ".yaml")
+		t.Run(name, func(t *testing.T) {
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			role, _, _ := strings.Cut(name, "-")
+			_, err = pollensettings.Read(pollensettings.Role(role), name+".yaml", text)
+			said := "ok"
+			if err != nil {
+				said = err.Error()
+			}
+			g.Assert(t, name, []byte(said+"\n"))
+		})
+	}
+}
--- a/pollenstore/folder.go
+++ b/pollenstore/folder.go
@@ -173,7 +173,7 @@
 	if position > len(f.stored.Entries) {
 		return false
 	}
-	f.stored.Entries = append(f.stored.Entries[:position:position], entries...)
+	f.stored.Entries = append(f.stored.Entries[:position], entries...)
 	return true
 }
 
--- a/pollentrace/read.go
+++ b/pollentrace/read.go
@@ -80,11 +80,12 @@
 	pollenyaml.Optional(m, "rate", &s.Rate, pollenyaml.Integer(0, maxRate))
 	pollenyaml.Optional(m, "work", &s.Work, pollenyaml.Duration(time.Millisecond, time.Minute))
 	pollenyaml.Optional(m, "keyed", &s.Keyed, pollenyaml.Integer(0, percent))
+	pollenyaml.Optional(m, "again", &s.Again, pollenyaml.Integer(0, percent))
 	pollenyaml.Optional(m, "cold-time", &s.ColdTime, pollenyaml.Duration(0, time.Minute))
 	d.WarmUp = s.ColdTime
 	pollenyaml.Optional(m, "warm-up", &d.WarmUp, pollenyaml.Duration(0, time.Hour))
 	m.Done("service", "delivery", "targets", "slots", "connections", "cold", "queue", "deadline", "retention",
-		"flows", "interval", "rate", "work", "keyed", "cold-time", "warm-up")
+		"flows", "interval", "rate", "work", "keyed", "again", "cold-time", "warm-up")
 	return s
 }
 
--- a/pollentrace/trace.go
+++ b/pollentrace/trace.go
@@ -45,6 +45,9 @@
 	Work time.Duration
 	// Keyed is the share of requests with an idempotency key, in percent.
 	Keyed int
+	// Again is the share of keyed requests that the caller sends once more after
+	// it got the answer, in percent.
+	Again int
 	// ColdTime is how long a backend server's start is cold.
 	ColdTime time.Duration
 }
--- a/pollenyaml/mapping.go
+++ b/pollenyaml/mapping.go
@@ -75,8 +75,9 @@
 	line   int
 	// fields holds the values not yet read, by name.
 	fields map[string]*yaml.Node
-	// order holds every name in file order.
+	// order holds every name in file order, and lines where each value is.
 	order []string
+	lines map[string]int
 }
 
 // Parse returns the root mapping of a YAML text. It returns nil when the text
@@ -103,7 +104,7 @@
 		report.Add(node.Line, path, nodeText(node), "a mapping")
 		return nil
 	}
-	m := &Mapping{report: report, path: path, line: node.Line, fields: map[string]*yaml.Node{}}
+	m := &Mapping{report: report, path: path, line: node.Line, fields: map[string]*yaml.Node{}, lines: map[string]int{}}
 	for i := 0; i+1 < len(node.Content); i += 2 {
 		name := node.Content[i].Value
 		if _, ok := m.fields[name]; ok {
@@ -112,6 +113,7 @@
 		}
 		m.fields[name] = node.Content[i+1]
 		m.order = append(m.order, name)
+		m.lines[name] = node.Content[i+1].Line
 	}
 	return m
 }
@@ -137,7 +139,11 @@
 
 // Problem reports a fault of the named field.
 func (m *Mapping) Problem(name, value, allowed string) {
-	m.report.Add(m.line, m.join(name), value, allowed)
+	line, ok := m.lines[name]
+	if !ok {
+		line = m.line
+	}
+	m.report.Add(line, m.join(name), value, allowed)
 }
 
 // Done reports every field that was never read, naming the allowed ones.
