Test with real processes; never take a lost replica for its successor

TestLostDiskIsRepaired found that repair could report done at once: the lost replica's own request to join, made when the system was founded seconds before, was taken for the empty replica's when its identity sorted after it, and it was a voter already. The kernel test missed it because its new identity always sorted last; it now draws either. A member is no candidate, the latest request wins, a learner that shares its address is left to repair, and a repair that is asked for again goes on with the learner. The watcher of the backend server's idle connection tells a restart before the next request is sent.

--- a/pollencontrol/hosts_test.go
+++ b/pollencontrol/hosts_test.go
@@ -76,7 +76,7 @@
 func newSystem(t *rapid.T, size int) *system {
 	s := &system{t: t, size: size, now: time.Unix(1_000_000, 0), answers: map[pollencontrol.Token]pollencontrol.Answer{}}
 	for i := 1; i <= size; i++ {
-		h := &host{id: pollenlog.ReplicaID(i), address: controlAddress(i)}
+		h := &host{id: pollenlog.ReplicaID(10 * i), address: controlAddress(i)}
 		if i == 1 {
 			h.disk.Hard.Term = 1
 			h.disk.Snapshot = pollenlog.Snapshot{Index: 1, Term: 1, Membership: pollenlog.Membership{
--- a/pollencontrol/node_test.go
+++ b/pollencontrol/node_test.go
@@ -219,7 +219,8 @@
 			second = l
 		}
 		lost.disk = pollenlog.Stored{}
-		lost.id = 77
+		// The new identity may sort before or after the lost one.
+		lost.id = pollenlog.ReplicaID(rapid.SampledFrom([]int{5, 77}).Draw(t, "identity"))
 		s.boot(lost)
 		s.run(time.Second)
 		s.mustSubmit("second", document(1, 4))
--- a/pollencontrol/repair.go
+++ b/pollencontrol/repair.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"time"
 
 	"pollenstep.example/pollenstep/pollenlog"
 )
@@ -24,7 +25,7 @@
 
 // join remembers an empty replica that asks to take part.
 func (n *Node) join(e Join) {
-	if n.leading() {
+	if _, member := n.log.Status().Membership.Find(e.ID); n.leading() && !member {
 		n.candidates[e.ID] = candidate{address: e.Address, heard: n.now}
 	}
 }
@@ -47,7 +48,7 @@
 		return
 	}
 	for _, r := range s.Membership.Replicas {
-		if !r.Voter && s.Match[r.ID] >= s.Commit {
+		if !r.Voter && s.Match[r.ID] >= s.Commit && !shared(s.Membership, r) {
 			r.Voter = true
 			n.changeMembership(pollenlog.ChangeMembership{Add: r})
 			return
@@ -66,6 +67,17 @@
 	}
 }
 
+// shared reports whether another replica has the same address, which only a
+// repair settles.
+func shared(m pollenlog.Membership, r pollenlog.Replica) bool {
+	for _, other := range m.Replicas {
+		if other.Address == r.Address && other.ID != r.ID {
+			return true
+		}
+	}
+	return false
+}
+
 func (n *Node) candidateIDs() []pollenlog.ReplicaID {
 	ids := make([]pollenlog.ReplicaID, 0, len(n.candidates))
 	for id := range n.candidates {
@@ -102,12 +114,7 @@
 		return
 	}
 	s := n.log.Status()
-	r := &repair{reply: e.Token, address: e.Address, target: s.Last}
-	for _, id := range n.candidateIDs() {
-		if n.candidates[id].address == e.Address {
-			r.fresh = id
-		}
-	}
+	r := &repair{reply: e.Token, address: e.Address, target: s.Last, fresh: n.freshAt(e.Address)}
 	for _, member := range s.Membership.Replicas {
 		if member.Address == e.Address && member.ID != r.fresh {
 			r.old = member.ID
@@ -127,6 +134,28 @@
 	n.continueRepair()
 }
 
+// freshAt returns the replica at the address that is not a voter yet: a learner
+// that an earlier repair added, or the empty one that was heard last. The lost
+// replica itself asked to join once, and must not be taken for its successor.
+func (n *Node) freshAt(address netip.AddrPort) pollenlog.ReplicaID {
+	membership := n.log.Status().Membership
+	for _, r := range membership.Replicas {
+		if r.Address == address && !r.Voter {
+			return r.ID
+		}
+	}
+	var fresh pollenlog.ReplicaID
+	var heard time.Time
+	for _, id := range n.candidateIDs() {
+		c := n.candidates[id]
+		if _, member := membership.Find(id); member || c.address != address || c.heard.Before(heard) {
+			continue
+		}
+		fresh, heard = id, c.heard
+	}
+	return fresh
+}
+
 // continueRepair takes the step that is due.
 func (n *Node) continueRepair() {
 	r := n.repair
--- a/pollendeployment/start.go
+++ b/pollendeployment/start.go
@@ -67,7 +67,20 @@
 			return err
 		}
 	}
-	return nil
+	return s.waitVoting(ctx)
+}
+
+// waitVoting waits until every control host votes; before that the loss of one
+// may be the loss of the majority.
+func (s *System) waitVoting(ctx context.Context) error {
+	const poll = 50 * time.Millisecond
+	for ctx.Err() == nil {
+		if status, err := s.Status(ctx); err == nil && status.Voters() == s.Layout.Control {
+			return nil
+		}
+		time.Sleep(poll)
+	}
+	return errors.Wrap(ctx.Err(), "wait until every control host votes")
 }
 
 func (s *System) startBackend(a agentPlace) error {
--- a/pollendeployment/status.go
+++ b/pollendeployment/status.go
@@ -9,9 +9,27 @@
 
 // A Status is what the status verb prints, as far as it is used here.
 type Status struct {
-	Revision uint64         `json:"revision"`
-	Leader   string         `json:"leader"`
-	Members  []StatusMember `json:"members"`
+	Revision uint64          `json:"revision"`
+	Leader   string          `json:"leader"`
+	Control  []StatusReplica `json:"control"`
+	Members  []StatusMember  `json:"members"`
+}
+
+// A StatusReplica is one control host of a Status.
+type StatusReplica struct {
+	Address string `json:"address"`
+	State   string `json:"state"`
+}
+
+// Voters returns the number of control hosts that vote.
+func (s *Status) Voters() int {
+	n := 0
+	for _, r := range s.Control {
+		if r.State == "voter" || r.State == "leader" {
+			n++
+		}
+	}
+	return n
 }
 
 // A StatusMember is one member of a Status.
--- a/pollendeployment/system.go
+++ b/pollendeployment/system.go
@@ -178,6 +178,12 @@
 	return nil
 }
 
+// RemoveData removes the data folder of a control host, as a lost disk does.
+func (s *System) RemoveData(name string) error { return os.RemoveAll(s.file(name)) }
+
+// Folder returns the folder that holds the run's files.
+func (s *System) Folder() string { return s.folder }
+
 // Close ends everything that is running.
 func (s *System) Close() {
 	if s.Fabric != nil {
--- a/pollensidecar/sidecar.go
+++ b/pollensidecar/sidecar.go
@@ -97,6 +97,7 @@
 	a.base.Every("tick", tickInterval, a.tick)
 	a.base.OnStop(a.stop)
 	a.addAnnounce()
+	a.base.Add("watch", a.watchBackend)
 	return a, nil
 }
 
--- a/pollenstandin/caller.go
+++ b/pollenstandin/caller.go
@@ -159,6 +159,7 @@
 
 	mu     sync.Mutex
 	server string
+	lines  int
 	last   time.Time
 	fault  string
 }
@@ -191,6 +192,7 @@
 	for want := 0; scanner.Scan(); want++ {
 		f.mu.Lock()
 		f.last = time.Now()
+		f.lines++
 		if scanner.Text() != strconv.Itoa(want) {
 			f.fault = fmt.Sprintf("line %q in place of %d", scanner.Text(), want)
 		}
@@ -206,6 +208,13 @@
 // Server returns the name of the backend server that sends the feed.
 func (f *Feed) Server() string { return f.server }
 
+// Lines returns the number of lines that have come.
+func (f *Feed) Lines() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lines
+}
+
 // Fault returns what is wrong with the feed, or nothing. A feed that was
 // silent for longer than the bound counts as broken.
 func (f *Feed) Fault(now time.Time, silence time.Duration) string {
