Compute a submission's difference only against what is surely current

Found by TestOperatorsRace: a leader that had not yet applied everything committed before its term computed the difference to an outdated section, and the loser was told of a section in which nothing differed. Worse, removals computed against an older version could have been missing in an accepted one. A leader now refuses, as not run, until it has applied an entry of its own term, and a change without a difference is passed over when applied.

--- a/pollencontrol/submission.go
+++ b/pollencontrol/submission.go
@@ -26,6 +26,12 @@
 		n.refuseNotLeader(e.Token, pollenlog.ErrNotLeader)
 		return
 	}
+	if !n.log.Status().Current {
+		// The difference to an outdated section would not be what the operator
+		// means.
+		n.refuseNotLeader(e.Token, pollenlog.ErrNoQuorum)
+		return
+	}
 	if known, ok := n.replica.View().Outcome(e.ID); ok {
 		// The outcome is committed, so it holds even if this leader is stale.
 		n.reply(e.Token, outcomeAnswer(known))
--- a/pollenlog/entries.go
+++ b/pollenlog/entries.go
@@ -76,6 +76,9 @@
 	// Lease reports, at a leader, whether the quorum was in contact within one
 	// election timeout.
 	Lease bool
+	// Current reports, at a leader, whether it has applied an entry of its own
+	// term, and with it everything that was committed before.
+	Current bool
 }
 
 // Status returns the node's state as of the last Step.
@@ -87,6 +90,7 @@
 	}
 	if n.role == RoleLeader {
 		s.Lease = n.quorumContact()
+		s.Current = n.termAt(n.applied) == n.hard.Term
 		s.Match = map[ReplicaID]Index{}
 		for id, p := range n.progress {
 			s.Match[id] = p.match
--- a/pollenview/command.go
+++ b/pollenview/command.go
@@ -146,21 +146,27 @@
 		return known
 	}
 	outcome := Outcome{ID: s.ID, By: s.By, State: OutcomeAccepted, Revision: at}
+	var changes []Winner
 	next := pollendocument.Document{Sections: slices.Clone(v.Document.Sections)}
 	for i := range s.Changes {
 		change := &s.Changes[i]
 		current := sectionOrEmpty(&next, change.Team)
 		changed := change.merge(&current)
+		fields := pollendocument.Diff(&current, &changed)
+		if len(fields) == 0 {
+			continue
+		}
 		if current.Version != change.Base {
 			outcome.State = OutcomeConflict
 			outcome.Winners = append(outcome.Winners, Winner{
 				Team: change.Team, Version: current.Version, Hash: current.Hash(),
-				By: v.lastSubmitter(change.Team), Fields: pollendocument.Diff(&current, &changed),
+				By: v.lastSubmitter(change.Team), Fields: fields,
 			})
 			continue
 		}
 		changed.Version = change.Base + 1
 		next.Put(changed)
+		changes = append(changes, Winner{Team: change.Team, Version: changed.Version, By: s.By})
 	}
 	if outcome.State == OutcomeAccepted {
 		if conflicts := next.Check(); len(conflicts) > 0 {
@@ -170,11 +176,7 @@
 	}
 	if outcome.State == OutcomeAccepted {
 		v.Document = next
-		for i := range s.Changes {
-			outcome.Winners = append(outcome.Winners, Winner{
-				Team: s.Changes[i].Team, Version: s.Changes[i].Base + 1, By: s.By,
-			})
-		}
+		outcome.Winners = changes
 	}
 	v.remember(outcome)
 	return outcome
