--- a/pollencontrol/node.go
+++ b/pollencontrol/node.go
@@ -59,6 +59,13 @@
 	led    time.Time
 	held   int
 	check  time.Time
+	// announced is when members were last told, and untold is set while they
+	// have not been told of every revision after toldUpTo.
+	announced time.Time
+	toldUpTo  pollenview.Revision
+	untold    bool
+	// joined is when members were last checked because of a heartbeat.
+	joined time.Time
 
 	// pending holds the submissions that were proposed here and are not yet
 	// decided, by token.
@@ -244,13 +251,25 @@
 	n.stepLog(pollenlog.Compact{Index: applied, Data: data})
 }
 
+// burstPause is the least time between two pushes to every member, and between
+// two checks that heartbeats of new members cause, so that many changes at once
+// cost one push together.
+const burstPause = 50 * time.Millisecond
+
 // announce tells every member of the new revision, with the update itself if
-// it is small.
+// it is small. Within a burst it waits for the next tick.
 func (n *Node) announce(from pollenview.Revision) {
 	if !n.leading() {
 		return
 	}
-	notice := n.notice(from)
+	if !n.untold {
+		n.toldUpTo, n.untold = from, true
+	}
+	if n.now.Sub(n.announced) < burstPause {
+		return
+	}
+	n.announced, n.untold = n.now, false
+	notice := n.notice(n.toldUpTo)
 	view := n.replica.View()
 	names := make([]pollendocument.ServerName, 0, len(view.Members))
 	for name := range view.Members {
@@ -300,14 +319,25 @@
 	if n.leading() {
 		n.hear(n.now, e.Heartbeat)
 		if view := n.replica.View(); e.Heartbeat.Leaving || view.Members[e.Heartbeat.Member.Name] != e.Heartbeat.Member {
-			n.checkMembers()
+			n.checkJoined()
 		}
 	}
 	n.emit(SendNotice{To: e.From, Notice: n.notice(e.Heartbeat.Revision)})
 }
 
+// checkJoined checks members because of a heartbeat, unless that was just done.
+func (n *Node) checkJoined() {
+	if n.now.Sub(n.joined) >= burstPause {
+		n.joined = n.now
+		n.checkMembers()
+	}
+}
+
 func (n *Node) tick() {
 	n.expirePending()
+	if n.untold {
+		n.announce(n.toldUpTo)
+	}
 	if !n.leading() || n.now.Sub(n.check) < n.config.Interval {
 		return
 	}
--- a/pollendeployment/process_test.go
+++ b/pollendeployment/process_test.go
@@ -46,10 +46,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), testBound)
 	t.Cleanup(cancel)
 	folder := t.TempDir()
-	if os.Getenv("KEEP") != "" {
-		folder, _ = os.MkdirTemp("/tmp", "keep-")
-		println(folder)
-	}
 	s, err := pollendeployment.New(layout, binary, folder)
 	if err != nil {
 		t.Fatal(err)
--- a/pollenquorum/quorum.go
+++ b/pollenquorum/quorum.go
@@ -33,7 +33,7 @@
 	compactEvery          = 1000
 	inlineLimit           = 1100
 	lease                 = 2 * time.Second
-	checkInterval         = 100 * time.Millisecond
+	checkInterval         = 250 * time.Millisecond
 	waitBound             = 5 * time.Second
 	guardLeast            = 2
 	tickInterval          = 10 * time.Millisecond
