--- a/pollendeployment/process_test.go
+++ b/pollendeployment/process_test.go
@@ -282,9 +282,12 @@
 func waitLines(ctx context.Context, t *testing.T, feeds []*pollenstandin.Feed, more int) {
 	t.Helper()
 	const poll = 20 * time.Millisecond
+	wanted := make([]int, len(feeds))
 	for i, f := range feeds {
-		want := f.Lines() + more
-		for f.Lines() < want {
+		wanted[i] = f.Lines() + more
+	}
+	for i, f := range feeds {
+		for f.Lines() < wanted[i] {
 			if fault := f.Fault(time.Now(), testBound); fault != "" || ctx.Err() != nil {
 				t.Fatalf("feed %d from %s: %s %v", i, f.Server(), fault, ctx.Err())
 			}
--- a/pollenmember/node.go
+++ b/pollenmember/node.go
@@ -54,6 +54,10 @@
 	wanted   pollenview.Revision
 	source   netip.AddrPort
 	fetching time.Time
+
+	// peers holds the addresses of the other members as of peersAt.
+	peers   []netip.AddrPort
+	peersAt pollenview.Revision
 }
 
 // NewNode returns a new Node with an empty view.
@@ -211,20 +215,28 @@
 // members that control cannot reach.
 func (n *Node) gossip() []Action {
 	view := n.replica.View()
-	peers := make([]netip.AddrPort, 0, len(view.Members))
-	for _, m := range view.Members {
-		if m.Name != n.self.Name && view.DomainIn(m.Domain) {
-			peers = append(peers, m.Address)
-		}
+	if n.peersAt != view.Revision {
+		n.findPeers(view)
 	}
-	if len(peers) == 0 {
+	if len(n.peers) == 0 {
 		return nil
 	}
-	slices.SortFunc(peers, netip.AddrPort.Compare)
-	to := peers[n.random.IntN(len(peers))]
+	to := n.peers[n.random.IntN(len(n.peers))]
 	return []Action{SendNotice{To: to, Notice: Notice{Revision: view.Revision}}}
 }
 
+// findPeers lists the members that the view names, in a repeatable order.
+func (n *Node) findPeers(view *pollenview.View) {
+	n.peersAt = view.Revision
+	n.peers = n.peers[:0]
+	for _, m := range view.Members {
+		if m.Name != n.self.Name && view.DomainIn(m.Domain) {
+			n.peers = append(n.peers, m.Address)
+		}
+	}
+	slices.SortFunc(n.peers, netip.AddrPort.Compare)
+}
+
 func (n *Node) receive(now time.Time, e NoticeReceived) []Action {
 	var actions []Action
 	if e.Notice.Control {
