--- /dev/null
+++ b/pollenagent/place.go
@@ -0,0 +1,85 @@
+package pollenagent
+
+import (
+	"time"
+
+	"pollenstep.example/pollenstep/pollendocument"
+	"pollenstep.example/pollenstep/pollenflow"
+	"pollenstep.example/pollenstep/pollenkernel"
+)
+
+// place chooses the holder of a new flow.
+func (f *Flows) place(now time.Time, p *Packet) Decision {
+	f.scratch = append(f.scratch[:0], f.Load())
+	for _, m := range f.homes.Members() {
+		if m.Name == f.config.Self.Name {
+			continue
+		}
+		if load, ok := f.loads.Get(now, m.Name); ok {
+			f.scratch = append(f.scratch, load)
+		}
+	}
+	if f.Draining() {
+		f.scratch[0].Limit = 0
+	}
+	at, ok := f.config.Placement.Choose(f.random, f.scratch, pollenflow.FlowFullness)
+	if !ok {
+		return drop(f.whyNoRoom())
+	}
+	if at == 0 {
+		return f.open(now, p)
+	}
+	to, ok := f.agent(f.scratch[at].Name)
+	if !ok {
+		return drop(pollenkernel.RefusalNoMember)
+	}
+	f.directory.Put(now, p.Key, reference(*to))
+	f.loads.AddFlow(now, to.Name)
+	return Decision{
+		Kind: DecisionForward, To: to.Address, Target: pollenflow.DigestOf(to.Name),
+		Assigned: true, Hops: p.Hops + 1,
+	}
+}
+
+func (f *Flows) whyNoRoom() pollenkernel.Refusal {
+	u := f.config.Limiter.Usage()
+	switch {
+	case f.Draining():
+		return pollenkernel.RefusalDraining
+	case u.Flows >= u.Connections:
+		return pollenkernel.RefusalConnectionLimit
+	default:
+		return pollenkernel.RefusalColdLimit
+	}
+}
+
+// takeAssigned opens a flow that the home agent gave to this one, or declines.
+func (f *Flows) takeAssigned(now time.Time, p *Packet) Decision {
+	d := drop(pollenkernel.RefusalDraining)
+	if !f.Draining() {
+		d = f.open(now, p)
+	}
+	d.Tell = p.From
+	d.Decline = d.Kind == DecisionDrop
+	return d
+}
+
+// open makes the record of a new flow if there is room.
+func (f *Flows) open(now time.Time, p *Packet) Decision {
+	l := f.config.Limiter
+	if !l.OpenFlow() {
+		return drop(pollenkernel.RefusalConnectionLimit)
+	}
+	relay := f.delivery == pollendocument.DeliveryRelay
+	if relay && !l.Begin() {
+		l.CloseFlow()
+		return drop(pollenkernel.RefusalColdLimit)
+	}
+	r := &Record{
+		Key: p.Key, Balancer: p.Balancer, Seen: now, Opened: now, Established: !relay, registered: now,
+	}
+	f.records[p.Key] = r
+	f.directory.Delete(p.Key)
+	f.keeping.changed(r.Key)
+	return Decision{Kind: DecisionDeliver, Record: r, New: true}
+}
--- a/pollenreplay/agent.go
+++ b/pollenreplay/agent.go
@@ -16,15 +16,6 @@
 
 // Timing of the agents, as in the shell of an agent.
 const (
-	window       = 5 * time.Second
-	directory    = 30 * time.Second
-	openTimeout  = 3 * time.Second
-	searchRate   = 500
-	generations  = 16
-	claimRetry   = 50 * time.Millisecond
-	storeWait    = 500 * time.Millisecond
-	retryShare   = 0.2
-	retryBurst   = 10
 	tickInterval = 20 * time.Millisecond
 	drainPoll    = 50 * time.Millisecond
 	drainBound   = 20 * time.Second
@@ -74,12 +65,8 @@
 	a.restored = false
 	a.member.State = pollendocument.ServerActive
 	placement, ramp := pollenflow.PlacementLeast, pollenadmission.RampSuccess
-	remembered := generations
-	switch w.variant {
-	case VariantHash, VariantTable:
+	if w.variant == VariantHash || w.variant == VariantTable {
 		placement = pollenflow.PlacementHome
-	case VariantOne:
-		remembered = 1
 	}
 	policy, err := pollenflow.Placements.Lookup(placement)
 	if err != nil {
@@ -90,14 +77,12 @@
 		panic(err)
 	}
 	a.limiter = pollenadmission.NewLimiter(w.now, pollenadmission.Limits{Slots: 1, Cold: 1, Connections: 1}, growth)
-	a.flows = pollenagent.NewFlows(w.now, pollenagent.Config{
-		Self: a.member, Limiter: a.limiter, Placement: policy, Window: window, Lease: directory,
-		OpenTimeout: openTimeout, SearchRate: searchRate, Generations: remembered, Seed: w.trace.Seed,
-	})
-	a.requests = pollenrequest.NewNode(pollenrequest.Config{
-		Self: a.member, Limiter: a.limiter, Loads: a.flows.Loads(), Placement: policy,
-		ClaimRetry: claimRetry, StoreWait: storeWait, RetryShare: retryShare, RetryBurst: retryBurst, Seed: w.trace.Seed,
-	})
+	config := pollenagent.NewConfig(a.member, a.limiter, policy, w.trace.Seed)
+	if w.variant == VariantOne {
+		config.Generations = 1
+	}
+	a.flows = pollenagent.NewFlows(w.now, config)
+	a.requests = pollenrequest.NewNode(pollenrequest.NewConfig(a.member, a.limiter, a.flows.Loads(), policy, w.trace.Seed))
 	a.ledger = pollenledger.NewReplica(reference(a.member), a.member.Service)
 	a.vault = pollenagent.NewVault()
 	a.calls = map[pollenrequest.ID]*call{}
--- a/pollenrequest/node.go
+++ b/pollenrequest/node.go
@@ -35,6 +35,25 @@
 	Seed       uint64
 }
 
+// Defaults of a Config.
+const (
+	defaultClaimRetry = 50 * time.Millisecond
+	defaultStoreWait  = 500 * time.Millisecond
+	defaultRetryShare = 0.2
+	defaultRetryBurst = 10
+)
+
+// NewConfig returns a new Config with the defaults.
+func NewConfig(
+	self pollenview.Member, limiter *pollenadmission.Limiter, loads *pollenflow.Loads,
+	placement pollenflow.Placement, seed uint64,
+) Config {
+	return Config{
+		Self: self, Limiter: limiter, Loads: loads, Placement: placement, ClaimRetry: defaultClaimRetry,
+		StoreWait: defaultStoreWait, RetryShare: defaultRetryShare, RetryBurst: defaultRetryBurst, Seed: seed,
+	}
+}
+
 // A Node decides about requests. It implements pollenkernel.Machine.
 type Node struct {
 	config  Config
--- a/pollensidecar/sidecar.go
+++ b/pollensidecar/sidecar.go
@@ -25,17 +25,8 @@
 	"pollenstep.example/pollenstep/pollenwire"
 )
 
-// Timing and limits of an agent.
+// Timing of an agent.
 const (
-	window        = 5 * time.Second
-	directory     = 30 * time.Second
-	openTimeout   = 3 * time.Second
-	searchRate    = 500
-	generations   = 16
-	claimRetry    = 50 * time.Millisecond
-	storeWait     = 500 * time.Millisecond
-	retryShare    = 0.2
-	retryBurst    = 10
 	tickInterval  = 20 * time.Millisecond
 	announceLease = 5 * time.Second
 	vaultAge      = 10 * time.Minute
@@ -143,15 +134,9 @@
 	a.self.Service = service
 	// The limits of the document follow with the next view.
 	a.limiter = pollenadmission.NewLimiter(now, pollenadmission.Limits{Slots: 1, Cold: 1, Connections: 1}, a.ramp)
-	a.flows = pollenagent.NewFlows(now, pollenagent.Config{
-		Self: a.self, Limiter: a.limiter, Placement: a.placement, Window: window, Lease: directory,
-		OpenTimeout: openTimeout, SearchRate: searchRate, Generations: generations, Seed: uint64(a.self.Incarnation),
-	})
-	a.requests = pollenrequest.NewNode(pollenrequest.Config{
-		Self: a.self, Limiter: a.limiter, Loads: a.flows.Loads(), Placement: a.placement,
-		ClaimRetry: claimRetry, StoreWait: storeWait, RetryShare: retryShare, RetryBurst: retryBurst,
-		Seed: uint64(a.self.Incarnation),
-	})
+	seed := uint64(a.self.Incarnation)
+	a.flows = pollenagent.NewFlows(now, pollenagent.NewConfig(a.self, a.limiter, a.placement, seed))
+	a.requests = pollenrequest.NewNode(pollenrequest.NewConfig(a.self, a.limiter, a.flows.Loads(), a.placement, seed))
 	a.ledger = pollenledger.NewReplica(a.reference(), service)
 	a.restored = false
 	a.changeView(now, a.membership.View())
