Wake those who wait for a current view; ask every keeper until it answers

TestFeedsOutliveKilledProcesses failed 3 of 4 times on a loaded machine: a restarted agent waited for its view to change although only its readiness did, until its time for taking flows back was over, and came back with none. Ruled out: the copies themselves (the keepers held them). Readiness wakes the waiting too, asking the keepers has its own bound, and each is asked until it answers.

--- a/pollenprocess/membership.go
+++ b/pollenprocess/membership.go
@@ -33,7 +33,7 @@
 
 	mu   sync.Mutex
 	node *pollenmember.Node
-	// changed is closed and replaced at each change of the view.
+	// changed is closed and replaced when the view or Current changes.
 	changed chan struct{}
 	current atomic.Bool
 }
@@ -85,8 +85,7 @@
 		case pollenmember.ViewChanged:
 			m.base.Metrics.Count(pollenmetric.EventViewChanged, 1)
 			m.OnView(now, m.node.View())
-			close(m.changed)
-			m.changed = make(chan struct{})
+			m.wake()
 		case pollenmember.Ready:
 			if a.Alone {
 				m.base.Metrics.Count(pollenmetric.EventStartedAlone, 1)
@@ -94,10 +93,17 @@
 			}
 			m.current.Store(true)
 			m.base.SetReady(true)
+			m.wake()
 		}
 	}
 }
 
+// wake lets WaitFor check its conditions again. The lock is held.
+func (m *Membership) wake() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
 func (m *Membership) send(to netip.AddrPort, kind pollenwire.DatagramKind, payload []byte) {
 	m.base.Socket.Send(to, &pollenwire.Header{Kind: kind, Revision: m.node.View().Revision}, payload)
 }
@@ -141,7 +147,8 @@
 }
 
 // WaitFor returns when the condition, which is checked with the lock held
-// after each change of the view, holds, or when the context ends.
+// after each change of the view or of Current, holds, or when the context
+// ends.
 func (m *Membership) WaitFor(ctx context.Context, condition func(view *pollenview.View) bool) {
 	for {
 		m.mu.Lock()
--- a/pollensidecar/flow.go
+++ b/pollensidecar/flow.go
@@ -232,12 +232,14 @@
 // restore takes back the flows of an earlier incarnation from the agents that
 // kept their records, and then announces the agent.
 func (a *Sidecar) restore(service pollendocument.ServiceName) {
-	ctx, cancel := context.WithTimeout(context.Background(), restoreBound)
-	defer cancel()
-	a.membership.WaitFor(ctx, func(view *pollenview.View) bool {
+	wait, cancelWait := context.WithTimeout(context.Background(), viewBound)
+	defer cancelWait()
+	a.membership.WaitFor(wait, func(view *pollenview.View) bool {
 		_, _, known := view.Document.Service(service)
 		return known && a.membership.Current()
 	})
+	ctx, cancel := context.WithTimeout(context.Background(), restoreBound)
+	defer cancel()
 	kept := a.collectKept(ctx, service)
 	now := time.Now()
 	a.membership.Lock()
@@ -260,8 +262,13 @@
 	a.announce(now)
 }
 
-// restoreBound bounds the time that a start spends on taking flows back.
-const restoreBound = 10 * time.Second
+// viewBound bounds the time that a start waits for a view with its service, and
+// restoreBound the time that it then spends on asking peers for its records.
+const (
+	viewBound    = 10 * time.Second
+	restoreBound = 3 * time.Second
+	restorePause = 100 * time.Millisecond
+)
 
 func (a *Sidecar) restoreFlow(now time.Time, k pollenagent.KeptRecord) bool {
 	if k.Port == 0 {
@@ -294,11 +301,8 @@
 			continue
 		}
 		group.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, callTimeout)
-			defer cancel()
-			answer, err := a.base.Client.Call(ctx, m.Address, pollencall.MethodKept, query)
-			var k pollenagent.Kept
-			if err != nil || len(answer) == 0 || pollenwire.Unmarshal(answer, &k, pollenwire.MapKept) != nil {
+			k, ok := a.askKept(ctx, m, query)
+			if !ok {
 				return
 			}
 			mu.Lock()
@@ -312,6 +316,25 @@
 	return latest
 }
 
+// askKept asks one agent until it answers or the context ends; ok is false when
+// it keeps nothing.
+func (a *Sidecar) askKept(ctx context.Context, m pollenview.Member, query []byte) (k pollenagent.Kept, ok bool) {
+	for ctx.Err() == nil {
+		try, cancel := context.WithTimeout(ctx, callTimeout)
+		answer, err := a.base.Client.Call(try, m.Address, pollencall.MethodKept, query)
+		cancel()
+		if err == nil {
+			return k, len(answer) > 0 && pollenwire.Unmarshal(answer, &k, pollenwire.MapKept) == nil
+		}
+		a.base.Metrics.Retried(pollenkernel.RetryReplica)
+		select {
+		case <-ctx.Done():
+		case <-time.After(restorePause):
+		}
+	}
+	return k, false
+}
+
 // handOver gives every record to the keepers before the process ends.
 func (a *Sidecar) handOver(ctx context.Context) {
 	a.membership.Lock()
