Copy flow records only after those of the earlier start were taken back

The other cause: a restarted agent's first tick gave its keepers an empty copy under the new incarnation, which replaced the one that it was about to ask for. The replay missed it, since there records are taken back before the first tick.

--- a/pollenagent/flows_test.go
+++ b/pollenagent/flows_test.go
@@ -157,6 +157,28 @@
 	}
 }
 
+// TestNothingIsKeptBeforeTakingBack checks that a new incarnation does not
+// replace the copies of the earlier one before it has taken them back.
+func TestNothingIsKeptBeforeTakingBack(t *testing.T) {
+	f := newFlows(t, 1, 3)
+	kept := func(now time.Time) int {
+		n := 0
+		for _, a := range f.Tick(now) {
+			if _, ok := a.(pollenagent.Keep); ok {
+				n++
+			}
+		}
+		return n
+	}
+	if n := kept(start.Add(time.Minute)); n != 0 {
+		t.Fatalf("%d copies before the records were taken back", n)
+	}
+	f.BeginKeeping()
+	if n := kept(start.Add(2 * time.Minute)); n != 2 {
+		t.Fatalf("%d copies afterwards, want one for each of two keepers", n)
+	}
+}
+
 func BenchmarkDecideHeld(b *testing.B) {
 	f := newFlows(b, 1, 1)
 	now := start.Add(time.Minute)
--- a/pollenagent/keep.go
+++ b/pollenagent/keep.go
@@ -56,6 +56,9 @@
 	dirty map[pollenflow.Key]struct{}
 	// version is that of the last copy.
 	version uint64
+	// begun is set once the records of an earlier incarnation were taken back.
+	// A copy given before would replace the one that is to be taken back.
+	begun bool
 }
 
 func (k *keeper) changed(key pollenflow.Key) {
@@ -68,6 +71,9 @@
 // keep gives the changes since the last call to the keepers, and everything to
 // a keeper that is new.
 func (f *Flows) keep() []Action {
+	if !f.keeping.begun {
+		return nil
+	}
 	if f.delivery != pollendocument.DeliveryRelay {
 		f.keeping.dirty = nil
 		return nil
@@ -91,6 +97,10 @@
 	return actions
 }
 
+// BeginKeeping lets the records be copied to keepers, after those of an earlier
+// incarnation were taken back.
+func (f *Flows) BeginKeeping() { f.keeping.begun = true }
+
 // KeepFailed notes that a keeper may lack what it was given, so that it is given
 // everything again.
 func (f *Flows) KeepFailed(peer pollenview.ReplicaRef) {
--- a/pollenreplay/agent.go
+++ b/pollenreplay/agent.go
@@ -114,6 +114,7 @@
 		}
 	}
 	a.restored = true
+	a.flows.BeginKeeping()
 	w.join(a.process)
 }
 
--- a/pollensidecar/flow.go
+++ b/pollensidecar/flow.go
@@ -259,6 +259,7 @@
 		a.base.Log.WithField("flows", restored).Info("flows of an earlier start taken back")
 	}
 	a.restored = true
+	a.flows.BeginKeeping()
 	a.announce(now)
 }
 
