--- a/pollenrequest/claim.go
+++ b/pollenrequest/claim.go
@@ -113,8 +113,7 @@
 	if r.contended > 0 {
 		why = pollenkernel.RefusalClaimHeld
 	}
-	n.settle(r, pollenledger.ClaimReleased)
-	n.finish(r, Refuse{ID: r.ID, Why: why, Execution: pollenkernel.ExecutionUnknown})
+	n.refuse(r, why)
 }
 
 // settle tells the replicas how the request's claim ended.
--- a/pollenrequest/node_test.go
+++ b/pollenrequest/node_test.go
@@ -14,12 +14,12 @@
 
 var start = time.Unix(1_000_000, 0)
 
-func newNode(tb testing.TB) *pollenrequest.Node {
-	tb.Helper()
-	self := pollenview.Member{
-		Name: "rings-1", Role: pollenview.RoleAgent, Incarnation: 1, Service: "rings", Domain: "celje-a",
-		State: pollendocument.ServerActive,
-	}
+var self = pollenview.Member{
+	Name: "rings-1", Role: pollenview.RoleAgent, Incarnation: 1, Service: "rings", Domain: "celje-a",
+	State: pollendocument.ServerActive,
+}
+
+func newView() *pollenview.View {
 	view := pollenview.NewView()
 	view.Document.Put(pollendocument.Section{Team: pollendocument.DomainsTeam, Domains: []pollendocument.Domain{
 		{Name: "celje-a", State: pollendocument.DomainIn},
@@ -28,6 +28,11 @@
 		Name: "rings", Slots: 5, Cold: 5, Queue: 2, Deadline: time.Second,
 	}}})
 	view.Members[self.Name] = self
+	return view
+}
+
+func newNode(tb testing.TB) *pollenrequest.Node {
+	tb.Helper()
 	ramp, err := pollenadmission.Ramps.Lookup(pollenadmission.RampOff)
 	if err != nil {
 		tb.Fatal(err)
@@ -41,7 +46,7 @@
 		Loads: pollenflow.NewLoads(time.Second), Placement: placement, ClaimRetry: 50 * time.Millisecond,
 		StoreWait: time.Second, RetryShare: 0.2, RetryBurst: 10,
 	})
-	n.Step(start, pollenrequest.ViewChanged{View: view})
+	n.Step(start, pollenrequest.ViewChanged{View: newView()})
 	return n
 }
 
@@ -115,6 +120,42 @@
 	first[pollenrequest.Run](t, actions)
 }
 
+// TestKeyedRefusalSaysWhatIsKnown checks that a keyed request that no majority of
+// the ledger vouched for is refused as unknown, since an earlier attempt may
+// have run, and as not run once the claim was won.
+func TestKeyedRefusalSaysWhatIsKnown(t *testing.T) {
+	n := newNode(t)
+	n.Step(start, pollenrequest.Arrival{ID: 1, Key: "ring-1"})
+	refused := first[pollenrequest.Refuse](t, n.Step(start.Add(time.Second), pollenrequest.Tick{}))
+	if refused.Why != "no-quorum" || refused.Execution != "unknown" {
+		t.Fatalf("keyed request without a ledger: %+v", refused)
+	}
+	for i := range 7 {
+		n.Step(start, pollenrequest.Arrival{ID: pollenrequest.ID(i + 10)})
+	}
+	view := newLedgerView()
+	n.Step(start, pollenrequest.ViewChanged{View: view})
+	claim := first[pollenrequest.SendClaim](t, n.Step(start, pollenrequest.Arrival{ID: 2, Key: "ring-2"}))
+	granted := pollenrequest.ClaimReply{
+		ID: 2, Claim: claim.Request.Claim, Reply: pollenledger.Reply{Verdict: pollenledger.VerdictGranted, Epoch: 1},
+	}
+	actions := n.Step(start, granted)
+	refused = first[pollenrequest.Refuse](t, actions)
+	released := first[pollenrequest.Settle](t, actions)
+	if refused.Why != "queue-full" || refused.Execution != "not-run" || released.Settlement.State != pollenledger.ClaimReleased {
+		t.Fatalf("keyed request with a claim and no room: %+v", actions)
+	}
+}
+
+// newLedgerView returns the view of newNode with the agent as ledger group.
+func newLedgerView() *pollenview.View {
+	v := newView()
+	v.Ledgers["rings"] = pollenview.LedgerGroup{
+		Epoch: 1, Replicas: []pollenview.ReplicaRef{{Name: self.Name, Incarnation: self.Incarnation}},
+	}
+	return v
+}
+
 func BenchmarkDecideRequest(b *testing.B) {
 	n := newNode(b)
 	answer := pollenledger.Answer{Status: 200}
