Exit with 2 for every call whose words are off

TestExitCodes found exit code 1 for unknown flags, missing settings and unknown verbs, which the documentation gives to refusals.

--- a/pollencommand/command.go
+++ b/pollencommand/command.go
@@ -37,13 +37,26 @@
 
 // Main runs the command line and returns the exit code.
 func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	err := newRoot(stdout, stderr).Run(ctx, args)
+	root := newRoot(stdout, stderr)
+	begun := false
+	for _, c := range root.Commands {
+		action := c.Action
+		c.Action = func(ctx context.Context, c *cli.Command) error {
+			begun = true
+			return action(ctx, c)
+		}
+	}
+	err := root.Run(ctx, args)
 	if err == nil {
 		return ExitDone
 	}
 	if err.Error() != "" {
 		_, _ = fmt.Fprintln(stderr, err)
 	}
+	if !begun {
+		// The words of the call are off.
+		return ExitInput
+	}
 	var exit *exitError
 	if errors.As(err, &exit) {
 		return exit.code
@@ -65,9 +78,6 @@
 		Writer:         stdout,
 		ErrWriter:      stderr,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
-			return inputError(err)
-		},
 		Commands: []*cli.Command{
 			roleCommand(pollensettings.RoleControl, "keep the replicated state (a host with a disk)",
 				&cli.BoolFlag{Name: "found", Usage: "make an empty host the first of a new system; used once"}),
