--- a/pollencommand/output.go
+++ b/pollencommand/output.go
@@ -87,6 +87,7 @@
 	Domain   string `json:"domain"`
 	Address  string `json:"address"`
 	State    string `json:"state"`
+	Cold     bool   `json:"cold"`
 	Revision uint64 `json:"revision"`
 	Lag      uint64 `json:"lag"`
 }
--- a/pollencommand/status.go
+++ b/pollencommand/status.go
@@ -77,7 +77,7 @@
 func newMemberView(view *pollenview.View, m pollencontrol.MemberState) memberView {
 	v := memberView{
 		Name: string(m.Member.Name), Role: string(m.Member.Role), Service: string(m.Member.Service),
-		Domain: string(m.Member.Domain), Address: m.Member.Address.String(), Revision: uint64(m.Revision),
+		Domain: string(m.Member.Domain), Address: m.Member.Address.String(), Revision: uint64(m.Revision), Cold: m.Cold,
 	}
 	if m.Revision < view.Revision {
 		v.Lag = uint64(view.Revision - m.Revision)
@@ -128,7 +128,11 @@
 	}
 	_, _ = fmt.Fprintln(t, "\nMEMBER\tROLE\tSERVICE\tDOMAIN\tSTATE\tREVISION\tLAG")
 	for _, m := range v.Members {
-		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%d\t%d\n", m.Name, m.Role, m.Service, m.Domain, m.State, m.Revision, m.Lag)
+		state := m.State
+		if m.Cold {
+			state += " (cold)"
+		}
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%d\t%d\n", m.Name, m.Role, m.Service, m.Domain, state, m.Revision, m.Lag)
 	}
 	_ = t.Flush()
 }
--- a/pollencontrol/event.go
+++ b/pollencontrol/event.go
@@ -153,6 +153,7 @@
 	Member      pollenview.Member
 	Revision    pollenview.Revision
 	LedgerEpoch uint64
+	Cold        bool
 	// Silent is set when the lease has lapsed or was never renewed with this
 	// leader.
 	Silent bool
--- a/pollencontrol/submission.go
+++ b/pollencontrol/submission.go
@@ -198,6 +198,7 @@
 		if known {
 			state.Revision = l.Heartbeat.Revision
 			state.LedgerEpoch = l.Heartbeat.LedgerEpoch
+			state.Cold = l.Heartbeat.Cold
 		}
 		s.Members = append(s.Members, state)
 	}
--- a/pollenmember/message.go
+++ b/pollenmember/message.go
@@ -15,6 +15,8 @@
 	// LedgerEpoch is the latest epoch of its ledger group that the member is
 	// complete for; zero when it is in none.
 	LedgerEpoch uint64
+	// Cold is set while the member's backend server is in a cold start.
+	Cold bool
 	// Leaving gives the lease up.
 	Leaving bool
 }
--- a/pollenmember/node.go
+++ b/pollenmember/node.go
@@ -37,6 +37,7 @@
 	replica *pollenview.Replica
 	self    pollenview.Member
 	epoch   uint64
+	cold    bool
 	leaving bool
 
 	// leader is invalid while no leader is known.
@@ -99,6 +100,7 @@
 type Announce struct {
 	Member      pollenview.Member
 	LedgerEpoch uint64
+	Cold        bool
 }
 
 // A Leave gives the lease up.
@@ -174,6 +176,7 @@
 		n.fetching = time.Time{}
 		n.wanted = n.replica.Revision()
 	case Announce:
+		n.cold = e.Cold
 		if e.Member != n.self || e.LedgerEpoch != n.epoch {
 			n.self, n.epoch = e.Member, e.LedgerEpoch
 			actions = n.heartbeats(now)
@@ -199,7 +202,7 @@
 func (n *Node) heartbeats(now time.Time) []Action {
 	n.beat = now
 	h := Heartbeat{
-		Member: n.self, Revision: n.replica.Revision(), LedgerEpoch: n.epoch, Leaving: n.leaving,
+		Member: n.self, Revision: n.replica.Revision(), LedgerEpoch: n.epoch, Cold: n.cold, Leaving: n.leaving,
 	}
 	if n.leader.IsValid() && n.ready {
 		return []Action{SendHeartbeat{To: n.leader, Heartbeat: h}}
--- a/pollensidecar/sidecar.go
+++ b/pollensidecar/sidecar.go
@@ -172,7 +172,9 @@
 	if a.flows.Draining() && a.stopping() {
 		member.State = pollendocument.ServerDraining
 	}
-	a.membership.StepLocked(now, pollenmember.Announce{Member: member, LedgerEpoch: a.ledger.Epoch()})
+	a.membership.StepLocked(now, pollenmember.Announce{
+		Member: member, LedgerEpoch: a.ledger.Epoch(), Cold: a.limiter.Usage().Cold,
+	})
 }
 
 // tick drives the state machines.
--- a/pollenwire/call.go
+++ b/pollenwire/call.go
@@ -44,6 +44,7 @@
 		MapMember(c, &m.Member)
 		unsigned(c, &m.Revision)
 		unsigned(c, &m.LedgerEpoch)
+		boolean(c, &m.Cold)
 		boolean(c, &m.Silent)
 	})
 	signed(c, &s.Held)
--- a/pollenwire/member.go
+++ b/pollenwire/member.go
@@ -10,6 +10,7 @@
 	MapMember(c, &h.Member)
 	unsigned(c, &h.Revision)
 	unsigned(c, &h.LedgerEpoch)
+	boolean(c, &h.Cold)
 	boolean(c, &h.Leaving)
 }
 
