Count what the counters promise; decode datagrams and answer fetches in one place

Read over: held leases, given-up flows and refusals of submissions had counters on the operators' page that nothing counted; they do now. Dead and gone: an action, a field, a codec, a retry reason and two methods of a stand-in that nothing used.

--- a/pollencontrol/event.go
+++ b/pollencontrol/event.go
@@ -4,6 +4,7 @@
 	"net/netip"
 
 	"pollenstep.example/pollenstep/pollendocument"
+	"pollenstep.example/pollenstep/pollenkernel"
 	"pollenstep.example/pollenstep/pollenlog"
 	"pollenstep.example/pollenstep/pollenmember"
 	"pollenstep.example/pollenstep/pollenview"
@@ -130,6 +131,9 @@
 	Verdict Verdict
 	// Reason says why, unless the verdict is VerdictDone.
 	Reason string
+	// Refusal is set when the replica does not lead or lacks its quorum; it is
+	// for this host's counters and is not sent.
+	Refusal pollenkernel.Refusal
 	// Leader is where to ask instead, if known.
 	Leader netip.AddrPort
 	// Outcome is set for a submission that was decided.
--- a/pollencontrol/node.go
+++ b/pollencontrol/node.go
@@ -160,6 +160,7 @@
 	n.led = n.now
 	n.leases = map[pollendocument.ServerName]Lease{}
 	n.proposed = 0
+	n.held = 0
 	n.repair = nil
 	n.check = n.now
 	n.emit(Leading{Term: n.log.Status().Term})
--- a/pollencontrol/repair.go
+++ b/pollencontrol/repair.go
@@ -59,7 +59,7 @@
 	}
 	for _, id := range n.candidateIDs() {
 		c := n.candidates[id]
-		if _, ok := s.Membership.Find(id); ok || holder(s.Membership, c.address) != 0 {
+		if _, ok := s.Membership.Find(id); ok || shared(s.Membership, pollenlog.Replica{ID: id, Address: c.address}) {
 			continue
 		}
 		n.changeMembership(pollenlog.ChangeMembership{Add: pollenlog.Replica{ID: id, Address: c.address}})
@@ -87,15 +87,6 @@
 	return ids
 }
 
-func holder(m pollenlog.Membership, address netip.AddrPort) pollenlog.ReplicaID {
-	for _, r := range m.Replicas {
-		if r.Address == address {
-			return r.ID
-		}
-	}
-	return 0
-}
-
 func (n *Node) changeMembership(e pollenlog.ChangeMembership) {
 	n.token++
 	e.Token = n.token
--- a/pollencontrol/submission.go
+++ b/pollencontrol/submission.go
@@ -6,7 +6,10 @@
 	"slices"
 	"strings"
 
+	"github.com/pkg/errors"
+
 	"pollenstep.example/pollenstep/pollendocument"
+	"pollenstep.example/pollenstep/pollenkernel"
 	"pollenstep.example/pollenstep/pollenlog"
 	"pollenstep.example/pollenstep/pollenview"
 )
@@ -17,7 +20,11 @@
 
 // refuseNotLeader answers that nothing was done here and where to ask.
 func (n *Node) refuseNotLeader(token Token, err error) {
-	n.reply(token, Answer{Verdict: VerdictNotRun, Reason: err.Error(), Leader: n.leaderAddress()})
+	refusal := pollenkernel.RefusalNoQuorum
+	if errors.Is(err, pollenlog.ErrNotLeader) {
+		refusal = pollenkernel.RefusalNotLeader
+	}
+	n.reply(token, Answer{Verdict: VerdictNotRun, Reason: err.Error(), Refusal: refusal, Leader: n.leaderAddress()})
 }
 
 // submit proposes the difference between the document and the present one.
@@ -189,6 +196,9 @@
 	n.reply(q.reply, Answer{Verdict: VerdictDone, State: n.state()})
 }
 
+// Held returns the number of lapsed leases that the guard keeps now.
+func (n *Node) Held() int { return n.held }
+
 func (n *Node) state() *State {
 	s := &State{View: n.replica.View().Clone(), Log: n.log.Status(), Held: n.held}
 	for _, m := range s.View.Members {
--- a/pollenkernel/reason.go
+++ b/pollenkernel/reason.go
@@ -61,7 +61,6 @@
 	RetryClaim       Retry = "claim-contended"
 	RetryReplica     Retry = "replica-unreachable"
 	RetryFetch       Retry = "view-fetch"
-	RetryLeader      Retry = "leader-changed"
 	RetrySearch      Retry = "flow-search"
 	RetryHomeChanged Retry = "home-changed"
 )
@@ -70,7 +69,7 @@
 func Retries() []Retry {
 	return []Retry{
 		RetryOtherAgent, RetryClaim, RetryReplica, RetryFetch,
-		RetryLeader, RetrySearch, RetryHomeChanged,
+		RetrySearch, RetryHomeChanged,
 	}
 }
 
--- /dev/null
+++ b/pollenprocess/decode.go
@@ -0,0 +1,29 @@
+package pollenprocess
+
+import (
+	"pollenstep.example/pollenstep/pollenkernel"
+	"pollenstep.example/pollenstep/pollenview"
+	"pollenstep.example/pollenstep/pollenwire"
+)
+
+// Decode decodes the message that a datagram carries. A malformed one is counted
+// and ok is false.
+func Decode[T any](b *Base, buffer []byte, size int, mapping func(c *pollenwire.Codec, v *T)) (message T, ok bool) {
+	payload := buffer[pollenwire.HeaderSize : pollenwire.HeaderSize+size]
+	if err := pollenwire.Unmarshal(payload, &message, mapping); err != nil {
+		b.Metrics.Refused(pollenkernel.RefusalMalformed)
+		return message, false
+	}
+	return message, true
+}
+
+// AnswerFetch answers a call of method Fetch with what since returns for the
+// revision that the asking process has.
+func AnswerFetch(request []byte, since func(have pollenview.Revision) pollenview.Update) ([]byte, error) {
+	var have pollenview.Revision
+	if err := pollenwire.Unmarshal(request, &have, pollenwire.MapRevision); err != nil {
+		return nil, err
+	}
+	update := since(have)
+	return pollenwire.Marshal(&update, pollenwire.MapUpdate), nil
+}
--- a/pollenprocess/membership.go
+++ b/pollenprocess/membership.go
@@ -109,10 +109,8 @@
 }
 
 func (m *Membership) takeNotice(_ *pollenwire.Header, from netip.AddrPort, buffer []byte, size int) {
-	var notice pollenmember.Notice
-	payload := buffer[pollenwire.HeaderSize : pollenwire.HeaderSize+size]
-	if err := pollenwire.Unmarshal(payload, &notice, pollenwire.MapNotice); err != nil {
-		m.base.Metrics.Refused(pollenkernel.RefusalMalformed)
+	notice, ok := Decode(m.base, buffer, size, pollenwire.MapNotice)
+	if !ok {
 		return
 	}
 	m.Step(time.Now(), pollenmember.NoticeReceived{From: from, Notice: notice})
@@ -136,14 +134,9 @@
 
 // HandleFetch answers a process whose view is behind.
 func (m *Membership) HandleFetch(_ context.Context, request []byte) ([]byte, error) {
-	var have pollenview.Revision
-	if err := pollenwire.Unmarshal(request, &have, pollenwire.MapRevision); err != nil {
-		return nil, err
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	update := m.node.Since(have)
-	return pollenwire.Marshal(&update, pollenwire.MapUpdate), nil
+	return AnswerFetch(request, m.node.Since)
 }
 
 // WaitFor returns when the condition, which is checked with the lock held
--- a/pollenquorum/quorum.go
+++ b/pollenquorum/quorum.go
@@ -15,14 +15,11 @@
 
 	"pollenstep.example/pollenstep/pollencall"
 	"pollenstep.example/pollenstep/pollencontrol"
-	"pollenstep.example/pollenstep/pollenkernel"
 	"pollenstep.example/pollenstep/pollenlog"
-	"pollenstep.example/pollenstep/pollenmember"
 	"pollenstep.example/pollenstep/pollenmetric"
 	"pollenstep.example/pollenstep/pollenprocess"
 	"pollenstep.example/pollenstep/pollensettings"
 	"pollenstep.example/pollenstep/pollenstore"
-	"pollenstep.example/pollenstep/pollenview"
 	"pollenstep.example/pollenstep/pollenwire"
 )
 
@@ -53,6 +50,8 @@
 	// waiting holds the calls that wait for a Reply.
 	waiting map[pollencontrol.Token]chan pollencontrol.Answer
 	senders map[netip.AddrPort]chan pollenlog.Message
+	// held is the number of lapsed leases that the guard held at the last step.
+	held int
 	// failed ends the process when the disk does not take a write.
 	failed chan error
 }
@@ -199,6 +198,9 @@
 		case pollencontrol.SendNotice:
 			q.notify(a)
 		case pollencontrol.Reply:
+			if a.Answer.Refusal != "" {
+				q.base.Metrics.Refused(a.Answer.Refusal)
+			}
 			if waiting, ok := q.waiting[a.Token]; ok {
 				delete(q.waiting, a.Token)
 				waiting <- a.Answer
@@ -211,10 +213,21 @@
 			q.base.Log.WithError(a.Err).WithField("index", a.Index).Error("committed entry skipped")
 		}
 	}
+	q.countHeld()
 	status := q.node.LogStatus()
 	q.base.SetReady(status.Leader != 0 && status.Applied > 0)
 }
 
+// countHeld counts the lapsed leases that the guard has begun to hold.
+func (q *Quorum) countHeld() {
+	held := q.node.Held()
+	if held > q.held {
+		q.base.Metrics.Count(pollenmetric.EventLeaseHeld, int64(held-q.held))
+		q.base.Log.WithField("leases", held).Warn("most leases lapsed at once; members are kept")
+	}
+	q.held = held
+}
+
 func (q *Quorum) notify(a pollencontrol.SendNotice) {
 	payload := pollenwire.Marshal(&a.Notice, pollenwire.MapNotice)
 	q.base.Socket.Send(a.To, &pollenwire.Header{Kind: pollenwire.DatagramNotice, Revision: a.Notice.Revision}, payload)
@@ -284,10 +297,8 @@
 }
 
 func (q *Quorum) takeHeartbeat(_ *pollenwire.Header, from netip.AddrPort, buffer []byte, size int) {
-	var h pollenmember.Heartbeat
-	payload := buffer[pollenwire.HeaderSize : pollenwire.HeaderSize+size]
-	if err := pollenwire.Unmarshal(payload, &h, pollenwire.MapHeartbeat); err != nil {
-		q.base.Metrics.Refused(pollenkernel.RefusalMalformed)
+	h, ok := pollenprocess.Decode(q.base, buffer, size, pollenwire.MapHeartbeat)
+	if !ok {
 		return
 	}
 	q.step(time.Now(), pollencontrol.HeartbeatReceived{From: from, Heartbeat: h})
@@ -365,12 +376,7 @@
 }
 
 func (q *Quorum) handleFetch(_ context.Context, request []byte) ([]byte, error) {
-	var have pollenview.Revision
-	if err := pollenwire.Unmarshal(request, &have, pollenwire.MapRevision); err != nil {
-		return nil, err
-	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	update := q.node.Since(have)
-	return pollenwire.Marshal(&update, pollenwire.MapUpdate), nil
+	return pollenprocess.AnswerFetch(request, q.node.Since)
 }
--- a/pollenrequest/claim.go
+++ b/pollenrequest/claim.go
@@ -13,7 +13,6 @@
 	r.stage = stageClaiming
 	r.epoch = n.group.Epoch
 	r.answered, r.granted, r.contended, r.unknown = 0, 0, 0, 0
-	r.behind = false
 	r.again = time.Time{}
 	replicas := n.replicas()
 	if len(replicas) < pollenview.Majority(len(n.group.Replicas)) || len(replicas) == 0 {
@@ -65,8 +64,6 @@
 		r.unknown++
 	case pollenledger.VerdictRunning:
 		r.contended++
-	case pollenledger.VerdictBehind:
-		r.behind = true
 	}
 	size := len(n.group.Replicas)
 	if r.epoch != n.group.Epoch {
--- a/pollenrequest/event.go
+++ b/pollenrequest/event.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"pollenstep.example/pollenstep/pollenadmission"
-	"pollenstep.example/pollenstep/pollendocument"
 	"pollenstep.example/pollenstep/pollenkernel"
 	"pollenstep.example/pollenstep/pollenledger"
 	"pollenstep.example/pollenstep/pollenview"
@@ -140,15 +139,11 @@
 // A Retried is to be counted.
 type Retried struct{ Why pollenkernel.Retry }
 
-// A ViewNeeded tells that another process has a newer ledger group.
-type ViewNeeded struct{ Server pollendocument.ServerName }
-
-func (SendClaim) action()  {}
-func (Settle) action()     {}
-func (Run) action()        {}
-func (RunAt) action()      {}
-func (CancelRun) action()  {}
-func (Answered) action()   {}
-func (Refuse) action()     {}
-func (Retried) action()    {}
-func (ViewNeeded) action() {}
+func (SendClaim) action() {}
+func (Settle) action()    {}
+func (Run) action()       {}
+func (RunAt) action()     {}
+func (CancelRun) action() {}
+func (Answered) action()  {}
+func (Refuse) action()    {}
+func (Retried) action()   {}
--- a/pollenrequest/node.go
+++ b/pollenrequest/node.go
@@ -109,7 +109,6 @@
 	// contended and unknown count the replicas that said so.
 	contended int
 	unknown   int
-	behind    bool
 	tried     []pollendocument.ServerName
 	stored    int
 	until     time.Time
--- a/pollensidecar/flow.go
+++ b/pollensidecar/flow.go
@@ -198,10 +198,8 @@
 }
 
 func (a *Sidecar) takeRegistrations(h *pollenwire.Header, from netip.AddrPort, buffer []byte, size int) {
-	var registrations []pollenflow.Registration
-	payload := buffer[pollenwire.HeaderSize : pollenwire.HeaderSize+size]
-	if err := pollenwire.Unmarshal(payload, &registrations, pollenwire.MapRegistrations); err != nil {
-		a.base.Metrics.Refused(pollenkernel.RefusalMalformed)
+	registrations, ok := pollenprocess.Decode(a.base, buffer, size, pollenwire.MapRegistrations)
+	if !ok {
 		return
 	}
 	a.membership.Lock()
@@ -214,10 +212,8 @@
 }
 
 func (a *Sidecar) takeLoad(h *pollenwire.Header, from netip.AddrPort, buffer []byte, size int) {
-	var load pollenflow.Load
-	payload := buffer[pollenwire.HeaderSize : pollenwire.HeaderSize+size]
-	if err := pollenwire.Unmarshal(payload, &load, pollenwire.MapLoad); err != nil {
-		a.base.Metrics.Refused(pollenkernel.RefusalMalformed)
+	load, ok := pollenprocess.Decode(a.base, buffer, size, pollenwire.MapLoad)
+	if !ok {
 		return
 	}
 	a.membership.Lock()
--- a/pollensidecar/sidecar.go
+++ b/pollensidecar/sidecar.go
@@ -153,9 +153,13 @@
 		return
 	}
 	served := a.flows.Serving()
-	a.act(a.flows.ChangeView(now, view))
-	if served && !a.flows.Serving() && a.front != nil {
-		a.front.closeConnections("failure domain is out")
+	actions := a.flows.ChangeView(now, view)
+	a.act(actions)
+	if served && !a.flows.Serving() {
+		a.base.Metrics.Count(pollenmetric.EventFlowGivenUp, int64(len(actions)))
+		if a.front != nil {
+			a.front.closeConnections("failure domain is out")
+		}
 	}
 	a.stepRequests(now, pollenrequest.ViewChanged{View: view})
 	a.ledger.ChangeView(now, view)
--- a/pollenstandin/backend.go
+++ b/pollenstandin/backend.go
@@ -57,7 +57,6 @@
 	running  int
 	fallen   time.Time
 	draining bool
-	feeds    int
 }
 
 // StartBackend returns a new Backend that serves and announces itself.
@@ -96,20 +95,6 @@
 	b.draining = true
 }
 
-// GoCold makes the backend server cold again without a word.
-func (b *Backend) GoCold() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.start = time.Now()
-}
-
-// Feeds returns the number of feeds that are open.
-func (b *Backend) Feeds() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.feeds
-}
-
 func (b *Backend) announce(ctx context.Context) {
 	const interval = 300 * time.Millisecond
 	for {
@@ -233,14 +218,6 @@
 	if !belongs(r.URL.Path, b.config.Prefix) {
 		b.config.Tally.Add(CountMisrouted, 1)
 	}
-	b.mu.Lock()
-	b.feeds++
-	b.mu.Unlock()
-	defer func() {
-		b.mu.Lock()
-		b.feeds--
-		b.mu.Unlock()
-	}()
 	controller := http.NewResponseController(w)
 	w.Header().Set("Server-Name", b.config.Name)
 	for i := 0; ; i++ {
--- a/pollenwire/call.go
+++ b/pollenwire/call.go
@@ -97,9 +97,6 @@
 // MapRevision maps a revision by itself.
 func MapRevision(c *Codec, r *pollenview.Revision) { unsigned(c, r) }
 
-// MapServerName maps a name by itself.
-func MapServerName(c *Codec, n *pollendocument.ServerName) { text(c, n) }
-
 // A KeptQuery asks for the records that are kept for an agent.
 type KeptQuery struct {
 	Name    pollendocument.ServerName
