--- a/cmd/pollenstep/main.go
+++ b/cmd/pollenstep/main.go
@@ -6,9 +6,10 @@
 	"context"
 	"os"
 
+	"pollenstep.example/pollenstep/platform"
 	"pollenstep.example/pollenstep/pollencommand"
 )
 
 func main() {
-	os.Exit(pollencommand.Main(context.Background(), os.Args, os.Stdout, os.Stderr))
+	os.Exit(pollencommand.Main(context.Background(), os.Args, os.Stdout, os.Stderr, platform.Command()))
 }
--- a/pollencommand/command.go
+++ b/pollencommand/command.go
@@ -35,17 +35,13 @@
 
 func inputError(err error) error { return &exitError{code: ExitInput, text: err.Error()} }
 
-// Main runs the command line and returns the exit code.
-func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+// Main runs the command line, with more verbs than its own, and returns the
+// exit code.
+func Main(ctx context.Context, args []string, stdout, stderr io.Writer, more ...*cli.Command) int {
 	root := newRoot(stdout, stderr)
+	root.Commands = append(root.Commands, more...)
 	begun := false
-	for _, c := range root.Commands {
-		action := c.Action
-		c.Action = func(ctx context.Context, c *cli.Command) error {
-			begun = true
-			return action(ctx, c)
-		}
-	}
+	watchBegin(root.Commands, &begun)
 	err := root.Run(ctx, args)
 	if err == nil {
 		return ExitDone
@@ -68,6 +64,21 @@
 	return ExitRefused
 }
 
+// watchBegin sets begun once the action of a verb runs.
+func watchBegin(commands []*cli.Command, begun *bool) {
+	for _, c := range commands {
+		watchBegin(c.Commands, begun)
+		action := c.Action
+		if action == nil {
+			continue
+		}
+		c.Action = func(ctx context.Context, c *cli.Command) error {
+			*begun = true
+			return action(ctx, c)
+		}
+	}
+}
+
 func newRoot(stdout, stderr io.Writer) *cli.Command {
 	root := &cli.Command{
 		Name:    "pollenstep",
--- a/pollencontrol/event.go
+++ b/pollencontrol/event.go
@@ -34,6 +34,19 @@
 	Teams []pollendocument.Team
 }
 
+// A Declare asks to put a whole declaration in force. One whose version is not
+// higher than the version in force is answered as done and changes nothing.
+type Declare struct {
+	Token       Token
+	Declaration pollendocument.Declaration
+}
+
+// An Empty asks to take a failure domain out or back.
+type Empty struct {
+	Token    Token
+	Emptying pollenview.Emptying
+}
+
 // A HeartbeatReceived delivers a member's heartbeat.
 type HeartbeatReceived struct {
 	From      netip.AddrPort
@@ -62,6 +75,8 @@
 func (Tick) event()              {}
 func (LogMessage) event()        {}
 func (Submit) event()            {}
+func (Declare) event()           {}
+func (Empty) event()             {}
 func (HeartbeatReceived) event() {}
 func (Query) event()             {}
 func (Join) event()              {}
--- a/pollencontrol/node.go
+++ b/pollencontrol/node.go
@@ -33,6 +33,9 @@
 	// Replicas is the number of control hosts that the settings name; empty
 	// replicas join by themselves up to it.
 	Replicas int
+	// Unattended lets the leader itself replace control hosts that are lost, as
+	// replaceLost tells. Without it, an operator asks for each repair.
+	Unattended bool
 }
 
 // A Codec turns what the log and the snapshots hold into bytes.
@@ -86,6 +89,8 @@
 
 type pendingSubmission struct {
 	reply Token
+	// id is empty for a declaration or an emptied domain, which are done when
+	// their own entry is committed.
 	id    string
 	index pollenlog.Index
 	term  pollenlog.Term
@@ -137,6 +142,10 @@
 		n.stepLog(pollenlog.Receive{Message: e.Message})
 	case Submit:
 		n.submit(e)
+	case Declare:
+		n.declare(e)
+	case Empty:
+		n.empty(e)
 	case HeartbeatReceived:
 		n.heartbeat(e)
 	case Query:
@@ -218,6 +227,7 @@
 		if submitted {
 			n.decide(outcome)
 		}
+		n.settle(e)
 	}
 	n.failLost(entries)
 	if n.proposed != 0 && n.proposed <= pollenlog.Index(n.replica.Revision()) {
@@ -346,6 +356,9 @@
 	n.checkMembers()
 	n.checkLedgers()
 	n.growMembership()
+	if n.config.Unattended {
+		n.replaceLost()
+	}
 	n.continueRepair()
 }
 
--- a/pollencontrol/repair.go
+++ b/pollencontrol/repair.go
@@ -21,6 +21,8 @@
 	fresh   pollenlog.ReplicaID
 	// target is the index that the learner must hold before it may vote.
 	target pollenlog.Index
+	// begun is when the repair was asked for.
+	begun time.Time
 }
 
 // join remembers an empty replica that asks to take part.
@@ -105,7 +107,7 @@
 		return
 	}
 	s := n.log.Status()
-	r := &repair{reply: e.Token, address: e.Address, target: s.Last, fresh: n.freshAt(e.Address)}
+	r := &repair{reply: e.Token, address: e.Address, target: s.Last, fresh: n.freshAt(e.Address), begun: n.now}
 	for _, member := range s.Membership.Replicas {
 		if member.Address == e.Address && member.ID != r.fresh {
 			r.old = member.ID
--- a/pollencontrol/submission.go
+++ b/pollencontrol/submission.go
@@ -135,7 +135,7 @@
 // decide answers every pending submission with the ID.
 func (n *Node) decide(o pollenview.Outcome) {
 	for token, p := range n.pending {
-		if p.id == o.ID {
+		if p.id != "" && p.id == o.ID {
 			delete(n.pending, token)
 			n.reply(p.reply, outcomeAnswer(o))
 		}
--- /dev/null
+++ b/pollengate/admit.go
@@ -0,0 +1,93 @@
+package pollengate
+
+import (
+	"math"
+	"time"
+
+	"pollenstep.example/pollenstep/pollenkernel"
+	"pollenstep.example/pollenstep/pollenlink"
+	"pollenstep.example/pollenstep/pollenpacket"
+	"pollenstep.example/pollenstep/pollenpeer"
+)
+
+// lastHop is the hop from which on a gate takes an opening packet although
+// requests wait there: the gates before it were no better.
+const lastHop = 2
+
+// open decides on an opening packet.
+func (g *Gate) open(now time.Time, h *pollenlink.Header, p *pollenpacket.Packet, f *flow) Decision {
+	if why := g.closed(now, h, p); why != pollenkernel.RefusalNone {
+		return Decision{Verdict: VerdictDecline, Reason: why, Opened: true}
+	}
+	if f != nil {
+		// A copy: the first one may have been lost on its way to the server.
+		f.used = now
+		g.silence.sent(now)
+		return Decision{Verdict: VerdictDeliver, Reason: pollenkernel.RefusalNone, Opened: true}
+	}
+	wait := g.wait()
+	if now.Before(g.coldUntil) && g.coldRoom(now) <= 0 {
+		return Decision{Verdict: VerdictDecline, Reason: pollenkernel.RefusalColdLimit, Opened: true, Wait: wait}
+	}
+	if h.Hops < lastHop && g.running >= g.slots() {
+		return Decision{Verdict: VerdictDecline, Reason: pollenkernel.RefusalSlots, Opened: true, Wait: wait}
+	}
+	if r := g.routes[p.Flow.Service]; r != nil && wait > r.Timeout {
+		return Decision{Verdict: VerdictReset, Reason: pollenkernel.RefusalSlots, Opened: true, Wait: wait}
+	}
+	made := &flow{stage: stageIdle, used: now, since: now, highest: p.Sequence + 1}
+	g.flows[p.Flow] = made
+	g.setStage(now, made, stageOpening)
+	g.starts.add(now)
+	g.silence.sent(now)
+	return Decision{Verdict: VerdictDeliver, Reason: pollenkernel.RefusalNone, Opened: true, Wait: wait}
+}
+
+// closed says why no new flow of the packet's kind may be opened here, if so.
+func (g *Gate) closed(now time.Time, h *pollenlink.Header, p *pollenpacket.Packet) pollenkernel.Refusal {
+	switch {
+	case h.Service != g.hash:
+		return pollenkernel.RefusalWrongService
+	case g.leaving:
+		return pollenkernel.RefusalNotReady
+	case g.revision < h.Revision:
+		// The balancer has checked route and failure domain against a newer view.
+	case g.emptied:
+		return pollenkernel.RefusalDomainOut
+	case !g.mayServe(p.Flow.Service):
+		return pollenkernel.RefusalNoRoute
+	}
+	switch g.State(now) {
+	case pollenpeer.ServerDraining:
+		return pollenkernel.RefusalDraining
+	case pollenpeer.ServerSilent:
+		return pollenkernel.RefusalServerSilent
+	case pollenpeer.ServerUnknown:
+		return pollenkernel.RefusalNotReady
+	}
+	return pollenkernel.RefusalNone
+}
+
+func (g *Gate) slots() int { return max(1, g.report.Slots) }
+
+// wait estimates how long a request that comes now waits for a slot: the
+// unfinished requests beyond the slots, each taking the measured time.
+func (g *Gate) wait() time.Duration {
+	beyond := g.running + 1 - g.slots()
+	if beyond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(beyond) / float64(g.slots()) * float64(g.work.value))
+}
+
+// coldMargin is kept free below the bound of a cold backend server, in
+// requests, since packets that left in one second may arrive in the next.
+const coldMargin = 2
+
+// coldRoom returns the number of flows that a cold backend server may still
+// take: its bound for one second less the requests of the last second and the
+// requests that its open flows are about to bring.
+func (g *Gate) coldRoom(now time.Time) int {
+	bound := g.pool.ColdRate*g.config.Bounds.ColdFactor + g.config.Bounds.ColdSlack - coldMargin
+	return int(math.Floor(bound)) - g.starts.count(now) - g.running
+}
--- /dev/null
+++ b/pollengate/gate.go
@@ -0,0 +1,382 @@
+// Package pollengate decides, beside one backend server, which packets reach
+// it. It is the last to decide: what a balancer believed of the backend server
+// may be outdated, what the gate knows is not.
+package pollengate
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"pollenstep.example/pollenstep/pollendocument"
+	"pollenstep.example/pollenstep/pollenkernel"
+	"pollenstep.example/pollenstep/pollenlink"
+	"pollenstep.example/pollenstep/pollenpacket"
+	"pollenstep.example/pollenstep/pollenpeer"
+	"pollenstep.example/pollenstep/pollensteer"
+	"pollenstep.example/pollenstep/pollenview"
+)
+
+// A Verdict says what happens to a packet.
+type Verdict string
+
+// Verdicts.
+const (
+	// VerdictDeliver gives the packet to the backend server.
+	VerdictDeliver Verdict = "deliver"
+	// VerdictDecline sends it back to the balancer.
+	VerdictDecline Verdict = "decline"
+	// VerdictReset ends the flow at the caller.
+	VerdictReset Verdict = "reset"
+	// VerdictCaller sends a packet of the backend server to the caller.
+	VerdictCaller Verdict = "caller"
+	// VerdictDrop leaves the packet to a retransmission.
+	VerdictDrop Verdict = "drop"
+)
+
+// A Decision is the outcome for one packet.
+type Decision struct {
+	Verdict Verdict
+	Reason  pollenkernel.Refusal
+	// Held tells that the balancer should learn that the flow is held here.
+	Held bool
+	// Opened tells that an opening packet was decided on; Wait is then the
+	// expected time until its request runs.
+	Opened bool
+	Wait   time.Duration
+}
+
+// A Report is what the backend server last said of itself.
+type Report struct {
+	// Name is the identity that it announces under.
+	Name    string
+	Service pollendocument.ServiceName
+	State   pollenpeer.ServerState
+	Slots   int
+	// Cold is how much longer it bears only a little load.
+	Cold time.Duration
+	// Born tells one start of the backend server from every other: later starts
+	// have higher values.
+	Born int64
+	// Sequence grows with each report of one start.
+	Sequence uint64
+}
+
+// Bounds are the limits that the installation sets.
+type Bounds struct {
+	// ColdFactor and ColdSlack bound the requests in one second that a cold
+	// backend server may get: rate x factor + slack.
+	ColdFactor float64
+	ColdSlack  float64
+	// ReportInterval is the time between two reports of a backend server.
+	ReportInterval time.Duration
+}
+
+// A Config holds the settings of a Gate.
+type Config struct {
+	Domain  pollendocument.DomainName
+	Service pollendocument.ServiceName
+	Bounds  Bounds
+}
+
+// A Gate decides on packets. It is not safe for concurrent use.
+type Gate struct {
+	config Config
+	hash   uint32
+	routes map[netip.AddrPort]*pollendocument.Route
+	pool   pollendocument.Pool
+	// revision is that of the view that routes were made from.
+	revision pollenview.Revision
+	emptied  bool
+
+	report Report
+	// reported is when the last report came; zero before the first.
+	reported time.Time
+	// coldUntil is when the backend server bears its full load.
+	coldUntil time.Time
+	leaving   bool
+	begun     time.Time
+
+	flows map[pollenpacket.Flow]*flow
+	// running is the number of flows in stageOpening or stageRunning.
+	running int
+	load    average
+	starts  window
+	work    duration
+	silence silence
+	swept   time.Time
+}
+
+// A stage says what a flow waits for.
+type stage string
+
+const (
+	// stageOpening lasts from the opening packet to the first request.
+	stageOpening stage = "opening"
+	// stageRunning lasts from a request to the start of its answer.
+	stageRunning stage = "running"
+	stageIdle    stage = "idle"
+)
+
+type flow struct {
+	stage stage
+	// since is when the stage began.
+	since time.Time
+	// used is when the last packet came.
+	used time.Time
+	// highest is the end of the stream that the caller has sent.
+	highest uint32
+	// answered is set once the backend server has sent a packet of the flow.
+	answered bool
+	// callerDone and serverDone are set once that end has closed its stream.
+	callerDone, serverDone bool
+}
+
+// New returns a new Gate.
+func New(now time.Time, config Config) *Gate {
+	return &Gate{
+		config: config, hash: pollensteer.ServiceHash(config.Service), begun: now,
+		routes: map[netip.AddrPort]*pollendocument.Route{}, flows: map[pollenpacket.Flow]*flow{},
+		load: average{at: now}, work: duration{value: defaultWork},
+	}
+}
+
+// defaultWork is taken as the time of a request until one was measured.
+const defaultWork = 30 * time.Millisecond
+
+// SetView replaces the routes and the limits. An older view is ignored.
+func (g *Gate) SetView(v *pollenview.View) {
+	if v.Revision < g.revision {
+		return
+	}
+	g.revision = v.Revision
+	g.emptied = v.DomainEmptied(g.config.Domain)
+	g.routes = map[netip.AddrPort]*pollendocument.Route{}
+	for i := range v.Declared.Routes {
+		r := v.Declared.Routes[i]
+		if r.Serves(g.config.Service) {
+			g.routes[r.Address] = &r
+		}
+	}
+	g.pool = pollendocument.Pool{Name: g.config.Service}
+	for _, p := range v.Declared.Pools {
+		if p.Name == g.config.Service {
+			g.pool = p
+		}
+	}
+}
+
+// Revision returns the revision of the view in use.
+func (g *Gate) Revision() pollenview.Revision { return g.revision }
+
+// Report records what the backend server says of itself. It returns false for a
+// report that is older than what is known, or that names another service.
+func (g *Gate) Report(now time.Time, r Report) bool {
+	if r.Service != g.config.Service || r.Born < g.report.Born ||
+		(r.Born == g.report.Born && r.Name == g.report.Name && r.Sequence <= g.report.Sequence) {
+		return false
+	}
+	if r.Born != g.report.Born && !g.reported.IsZero() {
+		// The new start holds no flow of the one before.
+		clear(g.flows)
+		g.running = 0
+		g.load.set(now, 0)
+	}
+	g.report, g.reported = r, now
+	g.coldUntil = now.Add(r.Cold)
+	g.silence.heard(now)
+	return true
+}
+
+// Left records that the backend server says goodbye.
+func (g *Gate) Left(now time.Time) {
+	g.report.State, g.reported = pollenpeer.ServerDraining, now
+}
+
+// Leave makes the gate decline new flows from now on.
+func (g *Gate) Leave() { g.leaving = true }
+
+// silentReports is the number of reports in a row that must be missing before
+// the backend server is taken for silent.
+const silentReports = 3
+
+// State returns what the gate believes of its backend server.
+func (g *Gate) State(now time.Time) pollenpeer.ServerState {
+	switch {
+	case g.reported.IsZero():
+		return pollenpeer.ServerUnknown
+	case g.report.State == pollenpeer.ServerDraining:
+		return pollenpeer.ServerDraining
+	case now.Sub(g.reported) > silentReports*g.config.Bounds.ReportInterval || g.silence.silent(now):
+		return pollenpeer.ServerSilent
+	}
+	return pollenpeer.ServerReady
+}
+
+// Server describes the backend server for beats.
+func (g *Gate) Server(now time.Time) pollenpeer.Server {
+	cold := now.Before(g.coldUntil)
+	s := pollenpeer.Server{
+		Service: g.config.Service, State: g.State(now), Slots: g.report.Slots, Cold: cold,
+		Running: g.running, Average: g.load.at1s(now), Flows: len(g.flows),
+	}
+	if cold {
+		s.Room = g.coldRoom(now)
+	}
+	return s
+}
+
+// FromNode decides on a caller's packet that a balancer passed.
+func (g *Gate) FromNode(now time.Time, h *pollenlink.Header, p *pollenpacket.Packet) Decision {
+	f := g.flows[p.Flow]
+	if p.Opening() {
+		return g.open(now, h, p, f)
+	}
+	if h.Kind == pollenlink.KindSearch && f == nil && !g.mayHoldUnknown(now) {
+		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalUnknownFlow}
+	}
+	d := Decision{Verdict: VerdictDeliver, Reason: pollenkernel.RefusalNone}
+	if f == nil {
+		// The backend server sends it back if it does not hold the flow.
+		return d
+	}
+	g.follow(now, f, p)
+	d.Held = h.Kind == pollenlink.KindSearch
+	return d
+}
+
+// unknownFor is how long after its own start a gate must reckon with flows that
+// it has not seen: longer than any flow may be silent.
+const unknownFor = 65 * time.Second
+
+// mayHoldUnknown reports whether the backend server may hold flows that were
+// opened before this process started.
+func (g *Gate) mayHoldUnknown(now time.Time) bool { return now.Sub(g.begun) < unknownFor }
+
+// follow notes a caller's packet of a flow that is held here.
+func (g *Gate) follow(now time.Time, f *flow, p *pollenpacket.Packet) {
+	f.used = now
+	end := p.Sequence + uint32(p.Size)
+	if p.Size > 0 && int32(end-f.highest) > 0 {
+		f.highest = end
+		if f.stage != stageRunning {
+			g.starts.add(now)
+		}
+		g.setStage(now, f, stageRunning)
+	}
+	if p.Size > 0 || p.Finish {
+		g.silence.sent(now)
+	}
+	f.callerDone = f.callerDone || p.Finish
+	if p.Reset || (f.callerDone && f.serverDone) {
+		g.forget(now, p.Flow)
+	}
+}
+
+func (g *Gate) setStage(now time.Time, f *flow, s stage) {
+	before, after := f.stage != stageIdle, s != stageIdle
+	if !before && after {
+		g.running++
+	}
+	if before && !after {
+		g.running--
+	}
+	if before != after {
+		g.load.set(now, g.running)
+	}
+	if f.stage != s {
+		f.stage, f.since = s, now
+	}
+}
+
+func (g *Gate) forget(now time.Time, f pollenpacket.Flow) {
+	if known := g.flows[f]; known != nil {
+		g.setStage(now, known, stageIdle)
+		delete(g.flows, f)
+	}
+}
+
+// FromServer decides on a packet that the backend server sent or returned.
+func (g *Gate) FromServer(now time.Time, p *pollenpacket.Packet) Decision {
+	if p.Returned {
+		return g.returned(now, p)
+	}
+	g.silence.heard(now)
+	f := g.flows[p.Flow]
+	if f == nil {
+		f = &flow{stage: stageIdle, since: now}
+		g.flows[p.Flow] = f
+	}
+	f.used, f.answered = now, true
+	if p.Size > 0 && f.stage == stageRunning {
+		g.work.add(now.Sub(f.since))
+	}
+	if p.Size > 0 {
+		g.setStage(now, f, stageIdle)
+	}
+	f.serverDone = f.serverDone || p.Finish
+	if p.Reset || (f.callerDone && f.serverDone) {
+		g.forget(now, p.Flow)
+	}
+	return Decision{Verdict: VerdictCaller, Reason: pollenkernel.RefusalNone}
+}
+
+// returned decides on a packet that the backend server would not take.
+func (g *Gate) returned(now time.Time, p *pollenpacket.Packet) Decision {
+	g.silence.heard(now)
+	g.forget(now, p.Flow)
+	switch {
+	case p.Mark == 0:
+		// It was searched for here in vain; others got it as well.
+		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalUnknownFlow}
+	case p.Opening():
+		return Decision{Verdict: VerdictDecline, Reason: pollenkernel.RefusalConnectionLimit}
+	}
+	return Decision{Verdict: VerdictDecline, Reason: pollenkernel.RefusalUnknownFlow}
+}
+
+// Times after which a flow is given up in the gate's own books; the backend
+// server's are not touched by it.
+const (
+	// openingTimeout is past the caller's own, which ends at 1.4 s.
+	openingTimeout = 1500 * time.Millisecond
+	// runningTimeout bounds a request whose answer was never seen.
+	runningTimeout = 10 * time.Second
+	// idleTimeout is past any idle time that documents set.
+	idleTimeout   = 65 * time.Second
+	sweepInterval = time.Second
+)
+
+// Sweep gives up flows that came to nothing.
+func (g *Gate) Sweep(now time.Time) {
+	if now.Sub(g.swept) < sweepInterval {
+		return
+	}
+	g.swept = now
+	for key, f := range g.flows {
+		age := now.Sub(f.used)
+		switch {
+		case f.stage == stageOpening && now.Sub(f.since) >= openingTimeout,
+			f.stage == stageRunning && now.Sub(f.since) >= runningTimeout:
+			g.setStage(now, f, stageIdle)
+		case age >= idleTimeout:
+			delete(g.flows, key)
+		}
+	}
+}
+
+// MayServe reports whether the route's flows may be opened at the service now.
+func (g *Gate) mayServe(address netip.AddrPort) bool {
+	_, ok := g.routes[address]
+	return ok
+}
+
+// Routes returns the addresses that the gate takes flows of, sorted.
+func (g *Gate) Routes() []netip.AddrPort {
+	addresses := make([]netip.AddrPort, 0, len(g.routes))
+	for a := range g.routes {
+		addresses = append(addresses, a)
+	}
+	slices.SortFunc(addresses, func(a, b netip.AddrPort) int { return a.Compare(b) })
+	return addresses
+}
--- a/pollenkernel/reason.go
+++ b/pollenkernel/reason.go
@@ -19,8 +19,13 @@
 	RefusalConnectionLimit Refusal = "connection-limit"
 	RefusalColdLimit       Refusal = "cold-limit"
 	RefusalNotReady        Refusal = "not-ready"
+	RefusalNoRoute         Refusal = "no-route"
+	RefusalServerSilent    Refusal = "server-silent"
 )
 
+// RefusalNone is the reason of what was not refused. It has no counter.
+const RefusalNone Refusal = ""
+
 // Reasons for refusing requests.
 const (
 	RefusalSlots         Refusal = "slots"
@@ -45,7 +50,7 @@
 		RefusalForged, RefusalMalformed, RefusalWrongService, RefusalWrongMember,
 		RefusalUnknownService, RefusalUnknownFlow, RefusalNoMember, RefusalDomainOut,
 		RefusalHopLimit, RefusalSearchLimit, RefusalConnectionLimit, RefusalColdLimit,
-		RefusalNotReady, RefusalSlots, RefusalQueueFull, RefusalDeadline, RefusalDraining,
+		RefusalNotReady, RefusalNoRoute, RefusalServerSilent, RefusalSlots, RefusalQueueFull, RefusalDeadline, RefusalDraining,
 		RefusalCancelled, RefusalRetryBudget, RefusalClaimHeld, RefusalClaimUnknown,
 		RefusalNoQuorum, RefusalNotLeader, RefusalStale, RefusalBackendFailed, RefusalTooLarge,
 	}
@@ -63,13 +68,18 @@
 	RetryFetch       Retry = "view-fetch"
 	RetrySearch      Retry = "flow-search"
 	RetryHomeChanged Retry = "home-changed"
+	// RetryOpening counts copies of opening packets that went to another gate
+	// than the first.
+	RetryOpening Retry = "opening-resent"
+	// RetryCall counts operators' calls that were passed to a leader again.
+	RetryCall Retry = "call-resent"
 )
 
 // Retries returns every retry reason.
 func Retries() []Retry {
 	return []Retry{
 		RetryOtherAgent, RetryClaim, RetryReplica, RetryFetch,
-		RetrySearch, RetryHomeChanged,
+		RetrySearch, RetryHomeChanged, RetryOpening, RetryCall,
 	}
 }
 
--- /dev/null
+++ b/pollenlink/link.go
@@ -0,0 +1,104 @@
+package pollenlink
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// BufferSize holds the header and the largest packet of a flow that nodes
+// carry, in bytes.
+const BufferSize = 2048
+
+// A Link is a node's socket towards other nodes.
+type Link struct {
+	conn *net.UDPConn
+
+	// mu guards id and buffer.
+	mu     sync.Mutex
+	id     uint32
+	buffer []byte
+	// OnLost is called with the error of each datagram that could not be sent.
+	OnLost func(to netip.AddrPort, err error)
+}
+
+// A Handler takes what arrives. It must not keep the data.
+type Handler interface {
+	// TakePacket takes a datagram whose kind carries a packet, which lies from
+	// HeaderSize on, or that tells of a held flow.
+	TakePacket(now time.Time, from netip.AddrPort, h Header, datagram []byte)
+	// TakeMessage takes a whole message.
+	TakeMessage(now time.Time, from netip.AddrPort, kind Kind, message []byte)
+	// TakeGarbage takes a datagram that is none of these.
+	TakeGarbage(from netip.AddrPort, size int)
+}
+
+// Open returns a new Link that is bound to the address.
+func Open(address netip.AddrPort) (*Link, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, errors.Wrapf(err, "open socket for nodes at %s", address)
+	}
+	return &Link{conn: conn, buffer: make([]byte, BufferSize), OnLost: func(netip.AddrPort, error) {}}, nil
+}
+
+// Serve passes what arrives to the handler until the context ends.
+func (l *Link) Serve(ctx context.Context, handler Handler) error {
+	stop := context.AfterFunc(ctx, func() { _ = l.conn.Close() })
+	defer stop()
+	join := newJoiner()
+	buffer := make([]byte, BufferSize)
+	for {
+		n, from, err := l.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			if errors.Is(err, net.ErrClosed) {
+				return errors.Wrap(err, "read from nodes")
+			}
+			// An earlier datagram was refused by its receiver.
+			continue
+		}
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		h, ok := ReadHeader(buffer[:n])
+		switch {
+		case !ok:
+			handler.TakeGarbage(from, n)
+		case h.Kind.carriesPacket() || h.Kind == KindHeld:
+			handler.TakePacket(time.Now(), from, h, buffer[:n])
+		default:
+			if message := join.add(time.Now(), from, buffer[:n]); message != nil {
+				handler.TakeMessage(time.Now(), from, h.Kind, message)
+			}
+		}
+	}
+}
+
+// SendPacket sends a datagram that begins with a header.
+func (l *Link) SendPacket(to netip.AddrPort, datagram []byte) {
+	if _, err := l.conn.WriteToUDPAddrPort(datagram, to); err != nil {
+		l.OnLost(to, err)
+	}
+}
+
+// SendMessage sends a message, in fragments if it is large. It may be lost.
+func (l *Link) SendMessage(to netip.AddrPort, kind Kind, message []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.id++
+	split(kind, l.id, message, l.buffer, func(datagram []byte) { l.SendPacket(to, datagram) })
+}
+
+// SendHeld tells a balancer that this node holds a flow.
+func (l *Link) SendHeld(to netip.AddrPort, h Header, flow []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h.Kind = KindHeld
+	h.Put(l.buffer)
+	l.SendPacket(to, append(l.buffer[:HeaderSize], flow...))
+}
--- a/pollenlog/entries.go
+++ b/pollenlog/entries.go
@@ -1,6 +1,9 @@
 package pollenlog
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 func (n *Node) lastIndex() Index {
 	return n.snapshot.Index + Index(len(n.entries))
@@ -73,6 +76,9 @@
 	Membership Membership
 	// Match holds, at a leader, the highest index each other replica holds.
 	Match map[ReplicaID]Index
+	// Heard holds, at a leader, the sending time of the latest heartbeat that
+	// each other replica answered.
+	Heard map[ReplicaID]time.Time
 	// Lease reports, at a leader, whether the quorum was in contact within one
 	// election timeout.
 	Lease bool
@@ -92,8 +98,10 @@
 		s.Lease = n.quorumContact()
 		s.Current = n.termAt(n.applied) == n.hard.Term
 		s.Match = map[ReplicaID]Index{}
+		s.Heard = map[ReplicaID]time.Time{}
 		for id, p := range n.progress {
 			s.Match[id] = p.match
+			s.Heard[id] = p.acked
 		}
 	}
 	return s
--- /dev/null
+++ b/pollennode/balancer.go
@@ -0,0 +1,436 @@
+package pollennode
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"pollenstep.example/pollenstep/pollencontrol"
+	"pollenstep.example/pollenstep/pollenkernel"
+	"pollenstep.example/pollenstep/pollenlink"
+	"pollenstep.example/pollenstep/pollenlog"
+	"pollenstep.example/pollenstep/pollenmetric"
+	"pollenstep.example/pollenstep/pollenpacket"
+	"pollenstep.example/pollenstep/pollenpeer"
+	"pollenstep.example/pollenstep/pollenrecord"
+	"pollenstep.example/pollenstep/pollensteer"
+	"pollenstep.example/pollenstep/pollenview"
+	"pollenstep.example/pollenstep/pollenwire"
+)
+
+// Timing of a balancer.
+const (
+	// foundDelay is how long the first seed waits for the other hosts of a new
+	// system; they all start within 0.3 s.
+	foundDelay = 700 * time.Millisecond
+	// lingerTime is how long a balancer serves on after it has turned unready:
+	// until the fabric has missed two of its probes, which come twice a second.
+	lingerTime = 1700 * time.Millisecond
+	// aloneAfter is how long a balancer waits for a gate before it calls itself
+	// ready without one.
+	aloneAfter = 2 * time.Second
+)
+
+// A Balancer is the program that takes callers' packets.
+type Balancer struct {
+	*base
+	control *control
+	data    *net.UDPConn
+
+	// The fields below are guarded by base.mu.
+	steer   *pollensteer.Balancer
+	leader  netip.AddrPort
+	founder netip.AddrPort
+	call    uint64
+	calls   map[uint64]chan pollenlink.Answer
+}
+
+// NewBalancer returns a new Balancer with its sockets open.
+func NewBalancer(now time.Time, s Settings) (*Balancer, error) {
+	if s.Format == nil || !s.Callers.IsValid() || !s.Node.IsValid() {
+		return nil, errors.Wrap(ErrSettings, "a balancer needs a format, an address for nodes and one for callers")
+	}
+	b := &Balancer{
+		steer: pollensteer.New(pollensteer.Config{Domain: s.Domain, Seed: rand.Uint64()}),
+		calls: map[uint64]chan pollenlink.Answer{},
+	}
+	self := pollenpeer.Peer{Role: pollenpeer.RoleBalancer, Disk: s.Data != "", First: s.First}
+	var err error
+	if b.base, err = newBase(now, s, self, b.gauges()); err != nil {
+		return nil, err
+	}
+	if b.data, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.Callers)); err != nil {
+		return nil, errors.Wrapf(err, "open socket for callers at %s", s.Callers)
+	}
+	if s.Data != "" {
+		b.control = newControl(b)
+		b.Add("control", b.control.serve)
+	}
+	b.Add("callers", b.serveCallers)
+	b.every("beats", tickInterval, b.tick)
+	b.stops = append(b.stops, b.stop)
+	return b, nil
+}
+
+func (b *Balancer) gauges() map[string]pollenmetric.Gauge {
+	read := func(value func() int64) pollenmetric.Gauge {
+		return func() int64 {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			return value()
+		}
+	}
+	return map[string]pollenmetric.Gauge{
+		"revision": read(func() int64 { return int64(b.view.Revision()) }),
+		"flows":    read(func() int64 { return int64(b.steer.Flows()) }),
+		"left":     func() int64 { return b.record.Left() },
+	}
+}
+
+// Run serves until a planned stop has finished or something fails.
+func (b *Balancer) Run() error { return b.run(b) }
+
+// Ready reports whether callers' packets should be sent here.
+func (b *Balancer) Ready(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.table.Self().Leaving && b.view.View().Declared.Version > 0 &&
+		(b.steer.Gates() > 0 || now.Sub(b.began) >= aloneAfter)
+}
+
+// Leader returns the address of the leading control host, or an invalid one.
+func (b *Balancer) Leader() netip.AddrPort {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.leader
+}
+
+// serveCallers steers callers' packets until the context ends.
+func (b *Balancer) serveCallers(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = b.data.Close() })
+	defer stop()
+	buffer := make([]byte, pollenlink.BufferSize)
+	for {
+		n, _, err := b.data.ReadFromUDPAddrPort(buffer[pollenlink.HeaderSize:])
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			if errors.Is(err, net.ErrClosed) {
+				return errors.Wrap(err, "read from callers")
+			}
+			// An earlier datagram was refused by its receiver.
+			continue
+		}
+		b.takeCaller(time.Now(), buffer[:pollenlink.HeaderSize+n])
+	}
+}
+
+// takeCaller steers one packet, which lies from pollenlink.HeaderSize on.
+func (b *Balancer) takeCaller(now time.Time, datagram []byte) {
+	p, ok := b.settings.Format.Caller(datagram[pollenlink.HeaderSize:])
+	if !ok || p.Returned {
+		b.malformed(netip.AddrPort{}, len(datagram)-pollenlink.HeaderSize, "caller's packet")
+		return
+	}
+	b.metrics.Count(pollenmetric.EventPacketIn, 1)
+	b.mu.Lock()
+	d := b.steer.Steer(now, &p)
+	revision := b.steer.Revision()
+	b.mu.Unlock()
+	b.carryOut(now, &p, &d, pollenlink.Header{Revision: revision}, datagram)
+}
+
+// carryOut does what was decided on a packet.
+func (b *Balancer) carryOut(
+	now time.Time, p *pollenpacket.Packet, d *pollensteer.Decision, h pollenlink.Header, datagram []byte,
+) {
+	if p.Opening() || d.Verdict == pollensteer.VerdictReset {
+		b.logDecision(now, p, d, h)
+	}
+	if d.Reason != pollenkernel.RefusalNone {
+		b.metrics.Refused(d.Reason)
+	}
+	if d.Retry != "" {
+		b.metrics.Retried(d.Retry)
+	}
+	h.Service = d.Service
+	h.Reason = pollenkernel.RefusalNone
+	switch d.Verdict {
+	case pollensteer.VerdictPass:
+		h.Kind = pollenlink.KindPass
+		h.Put(datagram)
+		b.settings.Format.SetMark(datagram[pollenlink.HeaderSize:], markOf(b.settings.Node))
+		b.link.SendPacket(d.Gate, datagram)
+	case pollensteer.VerdictSearch:
+		b.metrics.Retried(pollenkernel.RetrySearch)
+		h.Kind = pollenlink.KindSearch
+		h.Put(datagram)
+		b.settings.Format.SetMark(datagram[pollenlink.HeaderSize:], 0)
+		for _, g := range d.Gates {
+			b.link.SendPacket(g, datagram)
+		}
+	case pollensteer.VerdictReset:
+		b.reset(b.data, p)
+	case pollensteer.VerdictDrop:
+	}
+}
+
+// reset ends a flow at its caller.
+func (b *base) reset(conn *net.UDPConn, p *pollenpacket.Packet) {
+	reset := b.settings.Format.AppendReset(make([]byte, 0, pollenlink.BufferSize/8), p)
+	to := netip.AddrPortFrom(p.Flow.Caller.Addr(), b.settings.CallerPort)
+	if _, err := conn.WriteToUDPAddrPort(reset, to); err != nil {
+		b.metrics.Count(pollenmetric.EventSendFailed, 1)
+	}
+}
+
+// markOf returns the mark by which a gate finds the balancer that passed a
+// packet: its IPv4 address.
+func markOf(node netip.AddrPort) uint32 {
+	ip := node.Addr().As4()
+	return uint32(ip[0])<<24 | uint32(ip[1])<<16 | uint32(ip[2])<<8 | uint32(ip[3])
+}
+
+func (b *Balancer) logDecision(now time.Time, p *pollenpacket.Packet, d *pollensteer.Decision, h pollenlink.Header) {
+	if !b.record.Wants(now) {
+		return
+	}
+	b.record.Decision("flow steered", pollenrecord.Fields{
+		"caller": p.Flow.Caller, "service": p.Flow.Service, "copy": p.Acknowledged, "opening": p.Opening(),
+		"verdict": d.Verdict, "reason": d.Reason, "gate": d.Gate, "load": d.Load, "age": d.Age.String(),
+		"hops": h.Hops, "declined": h.Reason, "revision": h.Revision,
+	})
+}
+
+// TakePacket implements pollenlink.Handler.
+func (b *Balancer) TakePacket(now time.Time, from netip.AddrPort, h pollenlink.Header, datagram []byte) {
+	if h.Kind == pollenlink.KindHeld {
+		if f, ok := pollenlink.ReadFlow(datagram[pollenlink.HeaderSize:]); ok {
+			b.mu.Lock()
+			b.steer.Held(now, from, f)
+			b.mu.Unlock()
+			return
+		}
+	}
+	p, ok := b.settings.Format.Caller(datagram[pollenlink.HeaderSize:])
+	if !ok || h.Kind != pollenlink.KindDeclined {
+		b.malformed(from, len(datagram), string(h.Kind))
+		return
+	}
+	if h.Reason != pollenkernel.RefusalNone {
+		b.metrics.Refused(h.Reason)
+	}
+	h.Hops++
+	b.mu.Lock()
+	d := b.steer.Declined(now, from, h, &p)
+	h.Revision = b.steer.Revision()
+	b.mu.Unlock()
+	b.carryOut(now, &p, &d, h, datagram)
+}
+
+// TakeMessage implements pollenlink.Handler.
+func (b *Balancer) TakeMessage(now time.Time, from netip.AddrPort, kind pollenlink.Kind, message []byte) {
+	switch kind {
+	case pollenlink.KindBeat:
+		if beat, ok := take(b.base, from, kind, message, pollenwire.MapBeat); ok {
+			b.hear(now, &beat)
+		}
+	case pollenlink.KindUpdate:
+		if u, ok := take(b.base, from, kind, message, pollenwire.MapUpdate); ok {
+			b.mu.Lock()
+			b.moveForward(now, u, from)
+			b.mu.Unlock()
+		}
+	case pollenlink.KindLog:
+		if m, ok := take(b.base, from, kind, message, pollenwire.MapMessage); ok && b.control != nil {
+			b.control.postMessage(pollencontrol.LogMessage{Message: m})
+		}
+	case pollenlink.KindJoin:
+		if j, ok := take(b.base, from, kind, message, pollenwire.MapJoin); ok && b.control != nil {
+			b.control.postMessage(j)
+		}
+	case pollenlink.KindCall:
+		if call, ok := take(b.base, from, kind, message, pollenwire.MapCall); ok {
+			b.answer(call, func(a pollenlink.Answer) {
+				b.link.SendMessage(from, pollenlink.KindAnswer, pollenwire.Marshal(&a, pollenwire.MapCallAnswer))
+			})
+		}
+	case pollenlink.KindAnswer:
+		if a, ok := take(b.base, from, kind, message, pollenwire.MapCallAnswer); ok {
+			b.mu.Lock()
+			waiting := b.calls[a.ID]
+			delete(b.calls, a.ID)
+			b.mu.Unlock()
+			if waiting != nil {
+				waiting <- a
+			}
+		}
+	default:
+		b.malformed(from, len(message), string(kind))
+	}
+}
+
+// hear takes a beat, and answers it when the peer waits for an answer or lacks
+// something.
+func (b *Balancer) hear(now time.Time, beat *pollenpeer.Beat) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	change := b.table.Hear(now, beat)
+	b.logPeer(change, &beat.Peer)
+	if beat.Founder.IsValid() && len(b.settings.Seeds) > 0 && beat.Peer.Address == b.settings.Seeds[0] {
+		b.founder = beat.Founder
+	}
+	if (b.control == nil || !b.leader.IsValid()) && beat.Peer.Disk && beat.Leader.IsValid() && beat.Leader != b.leader {
+		b.leader = beat.Leader
+		b.record.Change("leading control host", pollenrecord.Fields{"leader": b.leader, "told": beat.Peer.Address})
+	}
+	if beat.Peer.Role == pollenpeer.RoleGate {
+		b.steer.SetGate(now, &beat.Peer)
+	}
+	if change == pollenpeer.ChangeNew || (beat.Peer.Role == pollenpeer.RoleGate && b.table.AnswerDue(now, beat.Peer.Address)) {
+		b.table.Answered(now, beat.Peer.Address)
+		own := b.ownBeat(now)
+		b.sendBeat(beat.Peer.Address, &own)
+	}
+	b.sendUpdate(now, &beat.Peer)
+}
+
+// ownBeat returns the next beat. The lock is held.
+func (b *Balancer) ownBeat(now time.Time) pollenpeer.Beat {
+	beat := b.table.Beat(now)
+	beat.Leader = b.leader
+	beat.Founder = b.founder
+	return beat
+}
+
+func (b *Balancer) tick(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range b.table.Expire(now) {
+		if p.Role == pollenpeer.RoleGate {
+			b.steer.RemoveGate(p.Address)
+		}
+		delete(b.updated, p.Address)
+		b.record.Change("peer lost", peerFields(&p))
+	}
+	b.steer.Sweep(now)
+	b.nameFounder(now)
+	b.beat(now)
+	b.record.ReportLeft(now)
+}
+
+// beat sends the beats that are due. The lock is held.
+func (b *Balancer) beat(now time.Time) {
+	due := b.table.Due(now)
+	if len(due) == 0 {
+		return
+	}
+	own := b.ownBeat(now)
+	for _, to := range due {
+		b.sendBeat(to, &own)
+	}
+}
+
+// nameFounder lets the first seed of a new system choose, once, the host that
+// founds it. The lock is held.
+func (b *Balancer) nameFounder(now time.Time) {
+	s := &b.settings
+	if !s.First || b.founder.IsValid() || len(s.Seeds) == 0 || s.Seeds[0] != s.Node || now.Sub(b.began) < foundDelay {
+		return
+	}
+	if b.control != nil {
+		b.founder = s.Node
+		return
+	}
+	for _, k := range b.table.All() {
+		if k.Peer.Disk && k.Peer.First {
+			b.founder = k.Peer.Address
+			return
+		}
+	}
+}
+
+// mayFound reports whether this host was named as the founder.
+func (b *Balancer) mayFound(time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.settings.First && b.founder == b.settings.Node
+}
+
+// setLeader records what this host's replica knows of the leader.
+func (b *Balancer) setLeader(leader netip.AddrPort, role pollenlog.Role, term pollenlog.Term) {
+	b.mu.Lock()
+	b.leader = leader
+	b.mu.Unlock()
+	b.record.Change("leading control host", pollenrecord.Fields{"leader": leader, "role": role, "term": term})
+}
+
+// committed takes what this host's replica has committed. A leader tells the
+// other balancers at once.
+func (b *Balancer) committed(now time.Time, leads bool, since func(pollenview.Revision) pollenview.Update) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	u := since(b.view.Revision())
+	if u.Empty() || !b.moveForward(now, u, b.settings.Node) || !leads {
+		return
+	}
+	for _, a := range b.table.Balancers() {
+		if k, ok := b.table.Get(a); ok {
+			delete(b.updated, a)
+			b.sendUpdate(now, &k.Peer)
+		}
+	}
+}
+
+// moveForward takes an update and passes it on to the gates that this balancer
+// is nearest to. The lock is held.
+func (b *Balancer) moveForward(now time.Time, u pollenview.Update, from netip.AddrPort) bool {
+	if !b.accept(u, from) {
+		return false
+	}
+	b.steer.SetView(b.view.View())
+	for _, k := range b.table.All() {
+		if k.Peer.Role == pollenpeer.RoleGate && b.table.Nearest(k.Peer.Address) {
+			delete(b.updated, k.Peer.Address)
+			b.sendUpdate(now, &k.Peer)
+		}
+	}
+	return true
+}
+
+func (b *Balancer) sendLog(to netip.AddrPort, m *pollenlog.Message) {
+	b.link.SendMessage(to, pollenlink.KindLog, pollenwire.Marshal(m, pollenwire.MapMessage))
+}
+
+// sendJoin asks every host with a disk to be taken in.
+func (b *Balancer) sendJoin(j pollencontrol.Join) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, a := range b.table.Balancers() {
+		if k, ok := b.table.Get(a); ok && k.Peer.Disk {
+			b.link.SendMessage(a, pollenlink.KindJoin, pollenwire.Marshal(&j, pollenwire.MapJoin))
+		}
+	}
+}
+
+// stop turns unready, hands leadership over and serves on until the fabric has
+// noticed.
+func (b *Balancer) stop() {
+	now := time.Now()
+	b.mu.Lock()
+	b.table.Self().Leaving = true
+	own := b.ownBeat(now)
+	for _, k := range b.table.All() {
+		b.sendBeat(k.Peer.Address, &own)
+	}
+	b.mu.Unlock()
+	if b.control != nil {
+		b.control.postMessage(pollencontrol.Handover{})
+	}
+	time.Sleep(lingerTime)
+}
--- /dev/null
+++ b/pollennode/gate.go
@@ -0,0 +1,297 @@
+package pollennode
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"pollenstep.example/pollenstep/pollengate"
+	"pollenstep.example/pollenstep/pollenkernel"
+	"pollenstep.example/pollenstep/pollenlink"
+	"pollenstep.example/pollenstep/pollenmetric"
+	"pollenstep.example/pollenstep/pollenpacket"
+	"pollenstep.example/pollenstep/pollenpeer"
+	"pollenstep.example/pollenstep/pollenrecord"
+	"pollenstep.example/pollenstep/pollenwire"
+)
+
+// partTime is how long a gate that stops goes on passing packets, so that the
+// balancers have heard of it before it falls silent.
+const partTime = 60 * time.Millisecond
+
+// A Gate is the program beside one backend server.
+type Gate struct {
+	*base
+	outbound *net.UDPConn
+
+	// The fields below are guarded by base.mu.
+	gate *pollengate.Gate
+	// told is what the last beat said of the backend server.
+	told pollenpeer.Server
+}
+
+// NewGate returns a new Gate with its sockets open.
+func NewGate(now time.Time, s Settings) (*Gate, error) {
+	if s.Format == nil || !s.Outbound.IsValid() || !s.Server.IsValid() || !s.Node.IsValid() || s.Service == "" {
+		return nil, errors.Wrap(ErrSettings, "a gate needs a format, a service, and addresses for nodes, its server and outbound packets")
+	}
+	g := &Gate{gate: pollengate.New(now, pollengate.Config{Domain: s.Domain, Service: s.Service, Bounds: s.Bounds})}
+	var err error
+	if g.base, err = newBase(now, s, pollenpeer.Peer{Role: pollenpeer.RoleGate}, g.gauges()); err != nil {
+		return nil, err
+	}
+	if g.outbound, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.Outbound)); err != nil {
+		return nil, errors.Wrapf(err, "open socket for the backend server at %s", s.Outbound)
+	}
+	g.Add("server", g.serveServer)
+	g.every("beats", tickInterval, g.tick)
+	g.stops = append(g.stops, g.stop)
+	return g, nil
+}
+
+func (g *Gate) gauges() map[string]pollenmetric.Gauge {
+	read := func(value func(pollenpeer.Server) int64) pollenmetric.Gauge {
+		return func() int64 {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return value(g.gate.Server(time.Now()))
+		}
+	}
+	return map[string]pollenmetric.Gauge{
+		"flows":   read(func(s pollenpeer.Server) int64 { return int64(s.Flows) }),
+		"running": read(func(s pollenpeer.Server) int64 { return int64(s.Running) }),
+		"left":    func() int64 { return g.record.Left() },
+	}
+}
+
+// Run serves until a planned stop has finished or something fails.
+func (g *Gate) Run() error { return g.run(g) }
+
+// Ready reports whether the backend server takes new flows through this gate.
+func (g *Gate) Ready(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.gate.State(now) == pollenpeer.ServerReady && !g.table.Self().Leaving
+}
+
+// Report takes what the backend server says of itself. When it returns, the
+// report is in force here; it returns false for one that is out of date or of
+// another service.
+func (g *Gate) Report(now time.Time, r pollengate.Report) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	before := g.gate.Server(now)
+	if !g.gate.Report(now, r) {
+		g.record.Change("report ignored", pollenrecord.Fields{
+			"server": r.Name, "service": r.Service, "sequence": r.Sequence, "born": r.Born,
+		})
+		return false
+	}
+	if after := g.gate.Server(now); after.State != before.State || after.Cold != before.Cold {
+		g.record.Change("backend server changed", pollenrecord.Fields{
+			"server": r.Name, "state": after.State, "before": before.State, "cold": r.Cold.String(),
+			"sequence": r.Sequence, "born": r.Born, "slots": r.Slots,
+		})
+	}
+	g.beat(now)
+	return true
+}
+
+// Left takes the goodbye of the backend server.
+func (g *Gate) Left(now time.Time, name string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.gate.Left(now)
+	g.record.Change("backend server left", pollenrecord.Fields{"server": name})
+	g.beat(now)
+}
+
+// serveServer takes the backend server's packets until the context ends.
+func (g *Gate) serveServer(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = g.outbound.Close() })
+	defer stop()
+	buffer := make([]byte, pollenlink.BufferSize)
+	for {
+		n, _, err := g.outbound.ReadFromUDPAddrPort(buffer[pollenlink.HeaderSize:])
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			if errors.Is(err, net.ErrClosed) {
+				return errors.Wrap(err, "read from the backend server")
+			}
+			// The backend server was not there for an earlier datagram.
+			continue
+		}
+		g.takeServer(time.Now(), buffer[:pollenlink.HeaderSize+n])
+	}
+}
+
+func (g *Gate) takeServer(now time.Time, datagram []byte) {
+	p, ok := g.settings.Format.Server(datagram[pollenlink.HeaderSize:])
+	if !ok {
+		g.malformed(netip.AddrPort{}, len(datagram)-pollenlink.HeaderSize, "backend server's packet")
+		return
+	}
+	g.metrics.Count(pollenmetric.EventAnswerIn, 1)
+	g.mu.Lock()
+	d := g.gate.FromServer(now, &p)
+	g.mu.Unlock()
+	origin := netip.AddrPortFrom(addrOf(p.Mark), g.settings.Node.Port())
+	g.carryOut(now, origin, &p, &d, pollenlink.Header{}, datagram)
+}
+
+// addrOf undoes markOf.
+func addrOf(mark uint32) netip.Addr {
+	return netip.AddrFrom4([4]byte{byte(mark >> 24), byte(mark >> 16), byte(mark >> 8), byte(mark)})
+}
+
+// carryOut does what was decided on a packet.
+func (g *Gate) carryOut(
+	now time.Time, balancer netip.AddrPort, p *pollenpacket.Packet, d *pollengate.Decision, h pollenlink.Header, datagram []byte,
+) {
+	packet := datagram[pollenlink.HeaderSize:]
+	if d.Opened || d.Verdict == pollengate.VerdictDecline {
+		g.logDecision(now, balancer, p, d, h)
+	}
+	if d.Reason != pollenkernel.RefusalNone {
+		g.metrics.Refused(d.Reason)
+	}
+	switch d.Verdict {
+	case pollengate.VerdictDeliver:
+		g.metrics.Count(pollenmetric.EventPacketOut, 1)
+		g.send(packet, g.settings.Server)
+	case pollengate.VerdictCaller:
+		g.metrics.Count(pollenmetric.EventAnswerOut, 1)
+		g.send(packet, netip.AddrPortFrom(p.Flow.Caller.Addr(), g.settings.CallerPort))
+	case pollengate.VerdictDecline:
+		h.Kind, h.Reason = pollenlink.KindDeclined, d.Reason
+		h.Put(datagram)
+		g.settings.Format.SetMark(packet, 0)
+		g.link.SendPacket(balancer, datagram)
+	case pollengate.VerdictReset:
+		g.reset(g.outbound, p)
+	case pollengate.VerdictDrop:
+	}
+	if d.Held {
+		g.link.SendHeld(balancer, h, pollenlink.AppendFlow(nil, p.Flow))
+	}
+}
+
+func (g *Gate) send(packet []byte, to netip.AddrPort) {
+	if _, err := g.outbound.WriteToUDPAddrPort(packet, to); err != nil {
+		g.metrics.Count(pollenmetric.EventSendFailed, 1)
+	}
+}
+
+func (g *Gate) logDecision(
+	now time.Time, balancer netip.AddrPort, p *pollenpacket.Packet, d *pollengate.Decision, h pollenlink.Header,
+) {
+	if !g.record.Wants(now) {
+		return
+	}
+	g.mu.Lock()
+	s := g.gate.Server(now)
+	revision := g.gate.Revision()
+	g.mu.Unlock()
+	g.record.Decision("flow admission", pollenrecord.Fields{
+		"caller": p.Flow.Caller, "service": p.Flow.Service, "copy": p.Acknowledged, "opening": p.Opening(),
+		"verdict": d.Verdict, "reason": d.Reason, "wait": d.Wait.String(), "running": s.Running, "slots": s.Slots,
+		"state": s.State, "cold": s.Cold, "hops": h.Hops, "balancer": balancer, "revision": revision, "routed": h.Revision,
+	})
+}
+
+// TakePacket implements pollenlink.Handler.
+func (g *Gate) TakePacket(now time.Time, from netip.AddrPort, h pollenlink.Header, datagram []byte) {
+	p, ok := g.settings.Format.Caller(datagram[pollenlink.HeaderSize:])
+	if !ok || p.Returned || (h.Kind != pollenlink.KindPass && h.Kind != pollenlink.KindSearch) {
+		g.malformed(from, len(datagram), string(h.Kind))
+		return
+	}
+	g.metrics.Count(pollenmetric.EventPacketIn, 1)
+	g.mu.Lock()
+	d := g.gate.FromNode(now, &h, &p)
+	g.mu.Unlock()
+	g.carryOut(now, from, &p, &d, h, datagram)
+}
+
+// TakeMessage implements pollenlink.Handler.
+func (g *Gate) TakeMessage(now time.Time, from netip.AddrPort, kind pollenlink.Kind, message []byte) {
+	switch kind {
+	case pollenlink.KindBeat:
+		if beat, ok := take(g.base, from, kind, message, pollenwire.MapBeat); ok {
+			g.mu.Lock()
+			change := g.table.Hear(now, &beat)
+			g.logPeer(change, &beat.Peer)
+			if change == pollenpeer.ChangeNew {
+				g.beat(now)
+			}
+			g.mu.Unlock()
+		}
+	case pollenlink.KindUpdate:
+		if u, ok := take(g.base, from, kind, message, pollenwire.MapUpdate); ok {
+			g.mu.Lock()
+			if g.accept(u, from) {
+				g.gate.SetView(g.view.View())
+			}
+			g.mu.Unlock()
+		}
+	default:
+		g.malformed(from, len(message), string(kind))
+	}
+}
+
+func (g *Gate) tick(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.table.Expire(now) {
+		g.record.Change("peer lost", peerFields(&p))
+	}
+	g.gate.Sweep(now)
+	s := g.gate.Server(now)
+	if s.State != g.told.State || s.Cold != g.told.Cold {
+		g.beat(now)
+	} else {
+		g.sendBeats(g.table.Due(now), now)
+	}
+	g.record.ReportLeft(now)
+}
+
+// beat tells every balancer at once. The lock is held.
+func (g *Gate) beat(now time.Time) {
+	due := g.table.Due(now)
+	for _, a := range g.table.Balancers() {
+		g.table.Answered(now, a)
+	}
+	g.sendBeats(append(due, g.table.Balancers()...), now)
+}
+
+func (g *Gate) sendBeats(to []netip.AddrPort, now time.Time) {
+	if len(to) == 0 {
+		return
+	}
+	g.told = g.gate.Server(now)
+	g.table.Self().Server = g.told
+	beat := g.table.Beat(now)
+	sent := make(map[netip.AddrPort]bool, len(to))
+	for _, a := range to {
+		if !sent[a] {
+			sent[a] = true
+			g.sendBeat(a, &beat)
+		}
+	}
+}
+
+// stop makes the balancers send new flows elsewhere before the process falls
+// silent. Open flows go on after the restart, or end with their backend server.
+func (g *Gate) stop() {
+	g.mu.Lock()
+	g.gate.Leave()
+	g.table.Self().Leaving = true
+	g.beat(time.Now())
+	g.mu.Unlock()
+	time.Sleep(partTime)
+}
--- /dev/null
+++ b/pollennode/settings.go
@@ -0,0 +1,66 @@
+// Package pollennode runs the two programs that pass packets of flows on
+// without ending them: the balancer, which also keeps the replicated state
+// where its host has a disk, and the gate beside one backend server.
+package pollennode
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"pollenstep.example/pollenstep/pollendocument"
+	"pollenstep.example/pollenstep/pollengate"
+	"pollenstep.example/pollenstep/pollenpacket"
+)
+
+// Settings are what a process of this package is told at its start.
+type Settings struct {
+	// Name names the process in logs and metrics.
+	Name   string
+	Domain pollendocument.DomainName
+	// Node takes packets and messages of other nodes, over UDP.
+	Node netip.AddrPort
+	// Seeds are addresses like Node of hosts that were there when the settings
+	// were written. The first one names the founder of a new system.
+	Seeds []netip.AddrPort
+	// First is set while the whole system starts for the first time.
+	First bool
+	// Callers takes callers' packets; only balancers have it.
+	Callers netip.AddrPort
+	// CallerPort is the port at which every caller takes packets.
+	CallerPort uint16
+	// Data is the folder of the replicated state; empty without a disk.
+	Data string
+	// Service, Server and Outbound are those of a gate: the service of its
+	// backend server, where that takes packets, and where it sends them.
+	Service  pollendocument.ServiceName
+	Server   netip.AddrPort
+	Outbound netip.AddrPort
+	Bounds   pollengate.Bounds
+	// Metrics serves counters and histograms over HTTP; the zero value turns
+	// it off.
+	Metrics netip.AddrPort
+	Level   logrus.Level
+	Format  pollenpacket.Format
+}
+
+// A Reloadable takes those settings that may change while a process runs.
+type Reloadable interface {
+	// SetSeeds replaces the seeds.
+	SetSeeds(seeds []netip.AddrPort)
+}
+
+// ErrSettings is the cause of errors about settings that a process cannot run
+// with.
+var ErrSettings = errors.New("settings are unusable")
+
+// Timing that both programs share.
+const (
+	// tickInterval bounds how late a beat or a timeout is.
+	tickInterval = 100 * time.Millisecond
+	// catchUpInterval is the least time between two updates to the same peer,
+	// longer than a round trip between the farthest hosts.
+	catchUpInterval = 150 * time.Millisecond
+)
--- a/pollenquorum/quorum.go
+++ b/pollenquorum/quorum.go
@@ -154,13 +154,7 @@
 			return pollenlog.Stored{}, errors.Wrapf(ErrFounded, "control host %s belongs to one; start without --found", other)
 		}
 	}
-	stored := pollenlog.Stored{
-		Hard: pollenlog.HardState{Term: 1},
-		Snapshot: pollenlog.Snapshot{Index: 1, Term: 1, Membership: pollenlog.Membership{
-			Replicas: []pollenlog.Replica{{ID: q.folder.ID(), Address: s.Address, Voter: true}},
-		}},
-	}
-	return stored, q.folder.Persist(pollenlog.Persist{Hard: &stored.Hard, Snapshot: &stored.Snapshot})
+	return q.folder.Found(s.Address)
 }
 
 // Run serves until a planned stop.
--- /dev/null
+++ b/pollensteer/balancer.go
@@ -0,0 +1,369 @@
+// Package pollensteer decides, at a balancer, where each packet of a flow goes.
+// What it knows may be outdated: the gate beside the backend server decides
+// last, and sends back what it does not take.
+package pollensteer
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pollenstep.example/pollenstep/pollendocument"
+	"pollenstep.example/pollenstep/pollenkernel"
+	"pollenstep.example/pollenstep/pollenlink"
+	"pollenstep.example/pollenstep/pollenpacket"
+	"pollenstep.example/pollenstep/pollenpeer"
+	"pollenstep.example/pollenstep/pollenview"
+)
+
+// A Verdict says what happens to a packet.
+type Verdict string
+
+// Verdicts.
+const (
+	// VerdictPass sends the packet to one gate.
+	VerdictPass Verdict = "pass"
+	// VerdictSearch sends it to every gate that may hold the flow.
+	VerdictSearch Verdict = "search"
+	// VerdictReset ends the flow at the caller.
+	VerdictReset Verdict = "reset"
+	// VerdictDrop leaves the packet to the caller's retransmission.
+	VerdictDrop Verdict = "drop"
+)
+
+// A Decision is the outcome for one packet.
+type Decision struct {
+	Verdict Verdict
+	// Reason says why the packet was not passed as it came.
+	Reason pollenkernel.Refusal
+	// Retry is set for a copy of an opening packet that goes elsewhere.
+	Retry pollenkernel.Retry
+	// Gate is set for VerdictPass.
+	Gate netip.AddrPort
+	// Gates is set for VerdictSearch; it is valid until the next decision.
+	Gates []netip.AddrPort
+	// Service is the hash of the service that is routed to, and zero for packets
+	// of open flows, which stay where they are.
+	Service uint32
+	// Chosen tells that Gate was chosen for a new flow, by Load at the age of
+	// its beat.
+	Chosen bool
+	Load   float64
+	Age    time.Duration
+}
+
+// Limits of the hints.
+const (
+	// maxHints bounds the flows that a balancer remembers the holder of; at 90
+	// bytes each they take 18 MB at most.
+	maxHints = 200_000
+	// hintIdle is how long a hint outlives the last packet of its flow; a flow
+	// that is silent for longer is searched again.
+	hintIdle = 20 * time.Second
+	// sweepInterval is the time between two sweeps of the hints.
+	sweepInterval = 2 * time.Second
+)
+
+// maxHops bounds the gates that an opening packet is passed to, so that it
+// comes to rest before the caller's next copy of it.
+const maxHops = 4
+
+// A Config holds the settings of a Balancer.
+type Config struct {
+	Domain pollendocument.DomainName
+	// Seed makes the choices repeatable.
+	Seed uint64
+}
+
+// A Balancer decides on packets. It is not safe for concurrent use.
+type Balancer struct {
+	config Config
+	random *rand.Rand
+	routes map[netip.AddrPort]*route
+	// revision is that of the view that routes were made from.
+	revision pollenview.Revision
+	emptied  []pollendocument.DomainName
+	// gates is keyed by address; services holds the same gates by service,
+	// sorted by address.
+	gates    map[netip.AddrPort]*gate
+	services map[pollendocument.ServiceName][]*gate
+	hints    map[key]hint
+	swept    time.Time
+	// list is the memory of Decision.Gates.
+	list []netip.AddrPort
+	// eligible is the memory of choose.
+	eligible []*gate
+}
+
+type key [12]byte
+
+// A hint says who was last believed to hold a flow.
+type hint struct {
+	gate *gate
+	// used is when the flow's last packet came.
+	used time.Time
+	// searched counts the packets that were searched for without an answer.
+	searched uint8
+}
+
+type route struct {
+	pollendocument.Route
+	weight int
+	hashes []uint32
+}
+
+type gate struct {
+	address netip.AddrPort
+	domain  pollendocument.DomainName
+	server  pollenpeer.Server
+	leaving bool
+	heard   time.Time
+	// sent counts the opening packets since the last beat.
+	sent int
+	// gone is set when the gate is no longer known.
+	gone bool
+}
+
+// New returns a new Balancer.
+func New(config Config) *Balancer {
+	return &Balancer{
+		config: config, random: rand.New(rand.NewPCG(config.Seed, 1)),
+		routes: map[netip.AddrPort]*route{}, gates: map[netip.AddrPort]*gate{},
+		services: map[pollendocument.ServiceName][]*gate{}, hints: map[key]hint{},
+	}
+}
+
+// ServiceHash returns the hash by which nodes tell services apart.
+func ServiceHash(name pollendocument.ServiceName) uint32 {
+	return uint32(xxhash.Sum64String(string(name))) | 1
+}
+
+// SetView replaces routes and emptied failure domains. An older view is
+// ignored.
+func (b *Balancer) SetView(v *pollenview.View) {
+	if v.Revision < b.revision {
+		return
+	}
+	b.revision = v.Revision
+	b.emptied = v.Emptied
+	b.routes = make(map[netip.AddrPort]*route, len(v.Declared.Routes))
+	for _, r := range v.Declared.Routes {
+		made := &route{Route: r}
+		for _, s := range r.Shares {
+			made.weight += s.Weight
+			made.hashes = append(made.hashes, ServiceHash(s.Service))
+		}
+		b.routes[r.Address] = made
+	}
+}
+
+// Revision returns the revision of the view in use.
+func (b *Balancer) Revision() pollenview.Revision { return b.revision }
+
+// SetGate records what a gate tells of itself.
+func (b *Balancer) SetGate(now time.Time, p *pollenpeer.Peer) {
+	g := b.gates[p.Address]
+	if g != nil && g.server.Service != p.Server.Service {
+		b.RemoveGate(p.Address)
+		g = nil
+	}
+	if g == nil {
+		g = &gate{address: p.Address}
+		b.gates[p.Address] = g
+		list := b.services[p.Server.Service]
+		at, _ := slices.BinarySearchFunc(list, p.Address, func(g *gate, a netip.AddrPort) int { return g.address.Compare(a) })
+		b.services[p.Server.Service] = slices.Insert(list, at, g)
+	}
+	g.domain, g.server, g.leaving, g.heard, g.sent = p.Domain, p.Server, p.Leaving, now, 0
+}
+
+// RemoveGate forgets a gate.
+func (b *Balancer) RemoveGate(a netip.AddrPort) {
+	g := b.gates[a]
+	if g == nil {
+		return
+	}
+	g.gone = true
+	delete(b.gates, a)
+	list := b.services[g.server.Service]
+	b.services[g.server.Service] = slices.DeleteFunc(list, func(o *gate) bool { return o == g })
+}
+
+func keyOf(f pollenpacket.Flow) (k key) {
+	var buffer [12]byte
+	pollenlink.AppendFlow(buffer[:0], f)
+	return key(buffer)
+}
+
+// Steer decides on a packet that came from a caller.
+func (b *Balancer) Steer(now time.Time, p *pollenpacket.Packet) Decision {
+	if b.revision == 0 {
+		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalStale}
+	}
+	r, ok := b.routes[p.Flow.Service]
+	if !ok {
+		return Decision{Verdict: VerdictReset, Reason: pollenkernel.RefusalNoRoute}
+	}
+	k := keyOf(p.Flow)
+	h, known := b.hints[k]
+	if known && (h.gate == nil || h.gate.gone) {
+		known = false
+	}
+	if p.Opening() {
+		return b.open(now, k, r, p, h, known)
+	}
+	if !known {
+		return b.search(now, k, r, h, nil)
+	}
+	h.used = now
+	b.hints[k] = h
+	return Decision{Verdict: VerdictPass, Gate: h.gate.address}
+}
+
+// resendCopy is the copy of an opening packet that goes elsewhere even if the
+// gate seems well: by then the caller has waited in vain for both earlier ones.
+const resendCopy = 2
+
+// open decides on an opening packet. A copy follows the one before it, unless
+// that has probably come to nothing.
+func (b *Balancer) open(now time.Time, k key, r *route, p *pollenpacket.Packet, h hint, known bool) Decision {
+	if known && p.Acknowledged < resendCopy && b.usable(now, h.gate) {
+		h.used = now
+		b.hints[k] = h
+		return Decision{Verdict: VerdictPass, Gate: h.gate.address, Service: ServiceHash(h.gate.server.Service)}
+	}
+	if !known {
+		return b.place(now, k, r, nil)
+	}
+	d := b.place(now, k, r, h.gate)
+	d.Retry = pollenkernel.RetryOpening
+	return d
+}
+
+// place chooses a gate for a new flow.
+func (b *Balancer) place(now time.Time, k key, r *route, without *gate) Decision {
+	g := b.choose(now, r, without)
+	if g == nil {
+		return Decision{Verdict: VerdictReset, Reason: pollenkernel.RefusalNoMember}
+	}
+	load, age := g.load(), now.Sub(g.heard)
+	g.sent++
+	b.remember(k, hint{gate: g, used: now})
+	return Decision{
+		Verdict: VerdictPass, Gate: g.address, Service: ServiceHash(g.server.Service),
+		Chosen: true, Load: load, Age: age,
+	}
+}
+
+// search sends the packet to the gates that may hold its flow: those of the
+// route's services and, when they stayed silent, every other one, since a route
+// may have had other services when the flow was opened.
+func (b *Balancer) search(now time.Time, k key, r *route, h hint, without *gate) Decision {
+	const narrow = 2
+	b.list = b.list[:0]
+	if h.searched < narrow {
+		for _, s := range r.Shares {
+			b.listGates(b.services[s.Service], without)
+		}
+	} else {
+		for _, gates := range b.services {
+			b.listGates(gates, without)
+		}
+	}
+	h = hint{used: now, searched: min(h.searched+1, narrow)}
+	b.remember(k, h)
+	if len(b.list) == 0 {
+		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalUnknownFlow}
+	}
+	return Decision{Verdict: VerdictSearch, Reason: pollenkernel.RefusalUnknownFlow, Gates: b.list}
+}
+
+func (b *Balancer) listGates(gates []*gate, without *gate) {
+	for _, g := range gates {
+		if g != without {
+			b.list = append(b.list, g.address)
+		}
+	}
+}
+
+// Declined decides on a packet that a gate sent back.
+func (b *Balancer) Declined(now time.Time, from netip.AddrPort, h pollenlink.Header, p *pollenpacket.Packet) Decision {
+	r, ok := b.routes[p.Flow.Service]
+	if !ok {
+		return Decision{Verdict: VerdictReset, Reason: pollenkernel.RefusalNoRoute}
+	}
+	k := keyOf(p.Flow)
+	known := b.hints[k]
+	decliner := b.gates[from]
+	if !p.Opening() {
+		if known.gate != nil && !known.gate.gone && known.gate != decliner {
+			known.used = now
+			b.hints[k] = known
+			return Decision{Verdict: VerdictPass, Gate: known.gate.address}
+		}
+		return b.search(now, k, r, known, decliner)
+	}
+	if decliner != nil {
+		decliner.learn(h.Reason)
+	}
+	if h.Hops >= maxHops {
+		return Decision{Verdict: VerdictReset, Reason: pollenkernel.RefusalHopLimit}
+	}
+	return b.place(now, k, r, decliner)
+}
+
+// learn corrects what is believed of a gate by its reason for declining, until
+// its next beat.
+func (g *gate) learn(why pollenkernel.Refusal) {
+	switch why {
+	case pollenkernel.RefusalDraining:
+		g.server.State = pollenpeer.ServerDraining
+	case pollenkernel.RefusalServerSilent, pollenkernel.RefusalNotReady, pollenkernel.RefusalConnectionLimit:
+		g.server.State = pollenpeer.ServerSilent
+	case pollenkernel.RefusalColdLimit:
+		g.server.Cold, g.server.Room = true, 0
+	case pollenkernel.RefusalSlots:
+		g.sent += max(1, g.server.Slots)
+	}
+}
+
+// Held records who holds a flow.
+func (b *Balancer) Held(now time.Time, from netip.AddrPort, f pollenpacket.Flow) {
+	g := b.gates[from]
+	if g == nil {
+		return
+	}
+	b.remember(keyOf(f), hint{gate: g, used: now})
+}
+
+func (b *Balancer) remember(k key, h hint) {
+	if _, known := b.hints[k]; !known && len(b.hints) >= maxHints {
+		for old := range b.hints {
+			delete(b.hints, old)
+			break
+		}
+	}
+	b.hints[k] = h
+}
+
+// Sweep forgets flows that were silent for long.
+func (b *Balancer) Sweep(now time.Time) {
+	if now.Sub(b.swept) < sweepInterval {
+		return
+	}
+	b.swept = now
+	for k, h := range b.hints {
+		if now.Sub(h.used) >= hintIdle || (h.gate != nil && h.gate.gone) {
+			delete(b.hints, k)
+		}
+	}
+}
+
+// Flows returns the number of flows whose holder is remembered.
+func (b *Balancer) Flows() int { return len(b.hints) }
+
+// Gates returns the number of gates that are known.
+func (b *Balancer) Gates() int { return len(b.gates) }
--- a/pollenstore/folder.go
+++ b/pollenstore/folder.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"slices"
@@ -72,6 +73,18 @@
 	return f.stored.Snapshot.Index == 0 && len(f.stored.Entries) == 0 && f.stored.Hard.Term == 0
 }
 
+// Found makes the replica the only voter of a new system. The folder must be
+// empty.
+func (f *Folder) Found(address netip.AddrPort) (pollenlog.Stored, error) {
+	stored := pollenlog.Stored{
+		Hard: pollenlog.HardState{Term: 1},
+		Snapshot: pollenlog.Snapshot{Index: 1, Term: 1, Membership: pollenlog.Membership{
+			Replicas: []pollenlog.Replica{{ID: f.id, Address: address, Voter: true}},
+		}},
+	}
+	return stored, f.Persist(pollenlog.Persist{Hard: &stored.Hard, Snapshot: &stored.Snapshot})
+}
+
 func (f *Folder) file(name string) string { return filepath.Join(f.path, name) }
 
 func (f *Folder) openIdentity(draw func() pollenlog.ReplicaID) error {
@@ -243,6 +256,11 @@
 		return errors.Wrap(err, "open log")
 	}
 	f.log = log
+	// A process that was killed between a write and its sync left bytes that are
+	// read back here but that a power loss would still take.
+	if err := log.Sync(); err != nil {
+		return errors.Wrap(err, "sync log")
+	}
 	return errors.Wrap(f.files.SyncFolder(f.path), "sync data folder")
 }
 
--- a/pollenview/command.go
+++ b/pollenview/command.go
@@ -17,6 +17,10 @@
 	CommandSubmit  CommandKind = "submit"
 	CommandMembers CommandKind = "members"
 	CommandLedgers CommandKind = "ledgers"
+	// CommandDeclare puts a declaration in force if its version is the highest.
+	CommandDeclare CommandKind = "declare"
+	// CommandEmpty says whether a failure domain gets new flows.
+	CommandEmpty CommandKind = "empty"
 )
 
 // A Command is one entry of the replicated log. Only the field of its kind is
@@ -28,6 +32,17 @@
 	// Leaves names the incarnations that are no longer members.
 	Leaves  []ReplicaRef
 	Ledgers []LedgerChange
+	// Declaration is nil except for CommandDeclare.
+	Declaration *pollendocument.Declaration
+	Emptying    Emptying
+}
+
+// An Emptying takes a failure domain out or back by its name alone, without a
+// document.
+type Emptying struct {
+	Domain pollendocument.DomainName
+	// Emptied is false when the domain is taken back.
+	Emptied bool
 }
 
 // A LedgerChange replaces the ledger group of a service.
@@ -111,6 +126,12 @@
 		v.applyMembers(c)
 	case CommandLedgers:
 		v.applyLedgers(c.Ledgers)
+	case CommandDeclare:
+		if c.Declaration.Version > v.Declared.Version {
+			v.Declared = *c.Declaration
+		}
+	case CommandEmpty:
+		v.applyEmptying(c.Emptying)
 	case CommandNone:
 	}
 	return Outcome{}, false
@@ -127,6 +148,16 @@
 	}
 }
 
+func (v *View) applyEmptying(e Emptying) {
+	at, found := slices.BinarySearch(v.Emptied, e.Domain)
+	switch {
+	case e.Emptied && !found:
+		v.Emptied = slices.Insert(slices.Clone(v.Emptied), at, e.Domain)
+	case !e.Emptied && found:
+		v.Emptied = slices.Delete(slices.Clone(v.Emptied), at, at+1)
+	}
+}
+
 func (v *View) applyLedgers(changes []LedgerChange) {
 	for _, l := range changes {
 		group := v.Ledgers[l.Service]
--- a/pollenview/replica.go
+++ b/pollenview/replica.go
@@ -36,7 +36,11 @@
 
 // Apply folds the next command into the view.
 func (r *Replica) Apply(at Revision, c Command) (outcome Outcome, submitted bool) {
+	before := r.view.Declared.Version
 	outcome, submitted = r.view.Apply(at, &c)
+	if c.Kind == CommandDeclare {
+		r.dropOvertaken(&c, r.view.Declared.Version > before)
+	}
 	if len(r.recent) >= 2*maxRecent {
 		r.recent = append([]Command(nil), r.recent[len(r.recent)-maxRecent:]...)
 	}
@@ -44,6 +48,24 @@
 	return outcome, submitted
 }
 
+// dropOvertaken frees the declarations that no view will show again: a whole
+// declaration is large, and only the one in force matters to a view that
+// catches up.
+func (r *Replica) dropOvertaken(c *Command, inForce bool) {
+	if !inForce {
+		*c = Command{Kind: CommandNone}
+		return
+	}
+	stripped := *c.Declaration
+	stripped.Source = nil
+	c.Declaration = &stripped
+	for i := range r.recent {
+		if r.recent[i].Kind == CommandDeclare {
+			r.recent[i] = Command{Kind: CommandNone}
+		}
+	}
+}
+
 // Since returns what a view at the revision lacks.
 func (r *Replica) Since(from Revision) Update {
 	if from >= r.view.Revision {
@@ -51,7 +73,9 @@
 	}
 	missing := int(r.view.Revision - from)
 	if missing > len(r.recent) {
-		return Update{Full: r.view.Clone()}
+		full := r.view.Clone()
+		full.Declared.Source = nil
+		return Update{Full: full}
 	}
 	commands := r.recent[len(r.recent)-missing:]
 	return Update{First: from + 1, Commands: commands[:len(commands):len(commands)]}
--- a/pollenview/view.go
+++ b/pollenview/view.go
@@ -73,6 +73,11 @@
 	// Outcomes holds the last submissions' outcomes, oldest first, at most
 	// maxOutcomes.
 	Outcomes []Outcome
+	// Declared is the declaration with the highest version; its lists are never
+	// changed in place.
+	Declared pollendocument.Declaration
+	// Emptied is sorted and never changed in place.
+	Emptied []pollendocument.DomainName
 }
 
 // NewView returns a new empty View.
@@ -97,6 +102,8 @@
 		c.Ledgers[n] = g
 	}
 	c.Outcomes = slices.Clone(v.Outcomes)
+	c.Declared = v.Declared
+	c.Emptied = v.Emptied
 	return c
 }
 
@@ -112,6 +119,12 @@
 	return ok && s.Domains[at].State == pollendocument.DomainIn
 }
 
+// DomainEmptied reports whether operators took the failure domain out by name.
+func (v *View) DomainEmptied(name pollendocument.DomainName) bool {
+	_, found := slices.BinarySearch(v.Emptied, name)
+	return found
+}
+
 // ServerSetting returns the operators' setting for a backend server, or the
 // default one.
 func (v *View) ServerSetting(name pollendocument.ServerName) pollendocument.Server {
--- a/pollenwire/codec.go
+++ b/pollenwire/codec.go
@@ -118,6 +118,19 @@
 	*v = T(n)
 }
 
+func float(c *Codec, v *float64) {
+	if c.err != nil {
+		return
+	}
+	if !c.decoding() {
+		c.fail(c.encoder.EncodeFloat64(*v))
+		return
+	}
+	n, err := c.decoder.DecodeFloat64()
+	c.fail(err)
+	*v = n
+}
+
 func boolean(c *Codec, v *bool) {
 	if c.err != nil {
 		return
--- /dev/null
+++ b/pollenwire/peer.go
@@ -0,0 +1,53 @@
+package pollenwire
+
+import (
+	"pollenstep.example/pollenstep/pollenlink"
+	"pollenstep.example/pollenstep/pollenpeer"
+)
+
+// MapBeat maps a beat.
+func MapBeat(c *Codec, b *pollenpeer.Beat) {
+	mapPeer(c, &b.Peer)
+	address(c, &b.Leader)
+	address(c, &b.Founder)
+	list(c, &b.Balancers, address)
+}
+
+func mapPeer(c *Codec, p *pollenpeer.Peer) {
+	address(c, &p.Address)
+	text(c, &p.Role)
+	text(c, &p.Domain)
+	unsigned(c, &p.Incarnation)
+	unsigned(c, &p.Sequence)
+	unsigned(c, &p.Revision)
+	boolean(c, &p.Disk)
+	boolean(c, &p.First)
+	boolean(c, &p.Leaving)
+	if p.Role != pollenpeer.RoleGate {
+		return
+	}
+	text(c, &p.Server.Service)
+	text(c, &p.Server.State)
+	signed(c, &p.Server.Slots)
+	boolean(c, &p.Server.Cold)
+	signed(c, &p.Server.Room)
+	signed(c, &p.Server.Running)
+	float(c, &p.Server.Average)
+	signed(c, &p.Server.Flows)
+}
+
+// MapCall maps a call to another node.
+func MapCall(c *Codec, m *pollenlink.Call) {
+	unsigned(c, &m.ID)
+	text(c, &m.Method)
+	blob(c, &m.Body)
+}
+
+// MapCallAnswer maps the answer to a call.
+func MapCallAnswer(c *Codec, a *pollenlink.Answer) {
+	unsigned(c, &a.ID)
+	text(c, &a.Result)
+	text(c, &a.Reason)
+	address(c, &a.Leader)
+	blob(c, &a.Body)
+}
--- a/pollenwire/view.go
+++ b/pollenwire/view.go
@@ -16,6 +16,8 @@
 	mapMembers(c, v)
 	mapLedgers(c, v)
 	list(c, &v.Outcomes, MapOutcome)
+	MapDeclaration(c, &v.Declared)
+	list(c, &v.Emptied, text[pollendocument.DomainName])
 }
 
 func mapMembers(c *Codec, v *pollenview.View) {
@@ -116,6 +118,40 @@
 		unsigned(c, &l.Epoch)
 		list(c, &l.Replicas, MapReplicaRef)
 	})
+	optional(c, &m.Declaration, MapDeclaration)
+	MapEmptying(c, &m.Emptying)
+}
+
+// MapDeclaration maps a whole declaration with its source.
+func MapDeclaration(c *Codec, d *pollendocument.Declaration) {
+	unsigned(c, &d.Version)
+	list(c, &d.Routes, mapRoute)
+	list(c, &d.Pools, func(c *Codec, p *pollendocument.Pool) {
+		text(c, &p.Name)
+		signed(c, &p.Connections)
+		float(c, &p.ColdRate)
+	})
+	duration(c, &d.Idle)
+	blob(c, &d.Source)
+}
+
+func mapRoute(c *Codec, r *pollendocument.Route) {
+	text(c, &r.Name)
+	address(c, &r.Address)
+	list(c, &r.Shares, func(c *Codec, s *pollendocument.Share) {
+		text(c, &s.Service)
+		signed(c, &s.Weight)
+	})
+	text(c, &r.Kind)
+	duration(c, &r.Timeout)
+	duration(c, &r.Objective)
+	signed(c, &r.Priority)
+}
+
+// MapEmptying maps the wish to empty a failure domain or to take it back.
+func MapEmptying(c *Codec, e *pollenview.Emptying) {
+	text(c, &e.Domain)
+	boolean(c, &e.Emptied)
 }
 
 // MapSubmission maps an operator's change.
