Hold cold servers to a rate only where the document declares one

Change: a rate of 0 holds to nothing; the slower work of a cold server shows in its unfinished requests.

--- a/pollendocument/declaration.go
+++ b/pollendocument/declaration.go
@@ -128,5 +128,9 @@
 
 // Summary names the declaration in logs.
 func (d *Declaration) Summary() string {
-	return fmt.Sprintf("version %d, %d routes, %d services", d.Version, len(d.Routes), len(d.Pools))
+	text := fmt.Sprintf("version %d, %d routes", d.Version, len(d.Routes))
+	for _, p := range d.Pools {
+		text += fmt.Sprintf(", service %s (cold rate %g)", p.Name, p.ColdRate)
+	}
+	return text
 }
--- a/pollengate/admit.go
+++ b/pollengate/admit.go
@@ -26,7 +26,7 @@
 		return Decision{Verdict: VerdictDeliver, Reason: pollenkernel.RefusalNone, Opened: true}
 	}
 	wait := g.wait()
-	if now.Before(g.coldUntil) && g.coldRoom(now) <= 0 {
+	if g.cold(now) && g.coldRoom(now) <= 0 {
 		return Decision{Verdict: VerdictDecline, Reason: pollenkernel.RefusalColdLimit, Opened: true, Wait: wait}
 	}
 	if h.Hops < lastHop && g.running >= g.slots() {
@@ -80,6 +80,11 @@
 	return time.Duration(float64(beyond) / float64(g.slots()) * float64(g.work.value))
 }
 
+// cold reports whether the backend server is held to a rate because it started
+// lately. A document that declares no rate holds it to none: such a server is
+// slower at first, which its measured work shows.
+func (g *Gate) cold(now time.Time) bool { return g.pool.ColdRate > 0 && now.Before(g.coldUntil) }
+
 // coldMargin is kept free below the bound of a cold backend server, in
 // requests, since packets that left in one second may arrive in the next.
 const coldMargin = 2
--- a/pollengate/gate.go
+++ b/pollengate/gate.go
@@ -215,7 +215,7 @@
 
 // Server describes the backend server for beats.
 func (g *Gate) Server(now time.Time) pollenpeer.Server {
-	cold := now.Before(g.coldUntil)
+	cold := g.cold(now)
 	s := pollenpeer.Server{
 		Service: g.config.Service, State: g.State(now), Slots: g.report.Slots, Cold: cold,
 		Running: g.running, Average: g.load.at1s(now), Flows: len(g.flows),
