Leave opening packets to their copies while a balancer is new

Cause: after the closing power loss balancers that knew no gate yet reset 829 opening packets within 1.5 s, and callers have two retries.

Change: for 1.2 s after its start a balancer drops what it cannot place.

--- a/pollennode/balancer.go
+++ b/pollennode/balancer.go
@@ -55,7 +55,7 @@
 		return nil, errors.Wrap(ErrSettings, "a balancer needs a format, an address for nodes and one for callers")
 	}
 	b := &Balancer{
-		steer: pollensteer.New(pollensteer.Config{Domain: s.Domain, Seed: rand.Uint64()}),
+		steer: pollensteer.New(pollensteer.Config{Domain: s.Domain, Begun: now, Seed: rand.Uint64()}),
 		calls: map[uint64]chan pollenlink.Answer{},
 	}
 	self := pollenpeer.Peer{Role: pollenpeer.RoleBalancer, Disk: s.Data != "", First: s.First}
--- a/pollensteer/balancer.go
+++ b/pollensteer/balancer.go
@@ -67,6 +67,12 @@
 	sweepInterval = 2 * time.Second
 )
 
+// settleTime is how long after its start a balancer cannot know that no server
+// takes a flow: gates and balancers that start together find each other within
+// it. Until then an opening packet is left to the caller's copies, which come
+// after 200 and 600 ms, since a reset would use up one of its few retries.
+const settleTime = 1200 * time.Millisecond
+
 // maxHops bounds the gates that an opening packet is passed to, so that it
 // comes to rest before the caller's next copy of it.
 const maxHops = 4
@@ -74,6 +80,8 @@
 // A Config holds the settings of a Balancer.
 type Config struct {
 	Domain pollendocument.DomainName
+	// Begun is when the process started.
+	Begun time.Time
 	// Seed makes the choices repeatable.
 	Seed uint64
 }
@@ -246,6 +254,9 @@
 // place chooses a gate for a new flow.
 func (b *Balancer) place(now time.Time, k key, r *route, without *gate) Decision {
 	g := b.choose(now, r, without)
+	if g == nil && now.Sub(b.config.Begun) < settleTime {
+		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalNotReady}
+	}
 	if g == nil {
 		return Decision{Verdict: VerdictReset, Reason: pollenkernel.RefusalNoMember}
 	}
