Leave opening packets that would miss their objective to their next copy

Change: a gate takes an opening packet only while its request can still be answered within the objective of its route, by the copies its caller has sent.

--- a/pollengate/admit.go
+++ b/pollengate/admit.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"pollenstep.example/pollenstep/pollendocument"
 	"pollenstep.example/pollenstep/pollenkernel"
 	"pollenstep.example/pollenstep/pollenlink"
 	"pollenstep.example/pollenstep/pollenpacket"
@@ -32,8 +33,13 @@
 	if h.Hops < lastHop && g.running >= g.slots() {
 		return Decision{Verdict: VerdictDecline, Reason: pollenkernel.RefusalSlots, Opened: true, Wait: wait}
 	}
-	if r := g.routes[p.Flow.Service]; r != nil && wait > r.Timeout {
-		return Decision{Verdict: VerdictReset, Reason: pollenkernel.RefusalSlots, Opened: true, Wait: wait}
+	if r := g.routes[p.Flow.Service]; r != nil && wait > 0 {
+		if wait > r.Timeout {
+			return Decision{Verdict: VerdictReset, Reason: pollenkernel.RefusalSlots, Opened: true, Wait: wait}
+		}
+		if wait > g.patience(r, p.Acknowledged) {
+			return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalSlots, Opened: true, Wait: wait}
+		}
 	}
 	made := &flow{stage: stageIdle, used: now, since: now, highest: p.Sequence + 1}
 	g.flows[p.Flow] = made
@@ -80,6 +86,22 @@
 	return time.Duration(float64(beyond) / float64(g.slots()) * float64(g.work.value))
 }
 
+// copyDelays are the times after which callers send copies of an opening packet.
+var copyDelays = [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
+
+// patience returns how long a request of the route may wait for a slot and
+// still be answered within its objective, by the time that its caller has
+// waited already.
+//
+// It answers the wave after many flows broke at once: more requests come than
+// can be in time, and a long queue would make all of them late, newcomers too.
+// Those that would be late are left to their next copy, so that newcomers are
+// served in time and the others as slots fall free.
+func (g *Gate) patience(r *pollendocument.Route, copies uint32) time.Duration {
+	waited := copyDelays[min(int(copies), len(copyDelays)-1)]
+	return max(0, r.Objective-waited-2*g.work.value)
+}
+
 // cold reports whether the backend server is held to a rate because it started
 // lately. A document that declares no rate holds it to none: such a server is
 // slower at first, which its measured work shows.
