Reset flows that every gate says it does not hold

Change: gates that are searched in vain say so; when every known gate has, the balancer resets the flow. A gate that does not answer may still hold it.

--- a/pollengate/gate.go
+++ b/pollengate/gate.go
@@ -26,6 +26,8 @@
 	VerdictDeliver Verdict = "deliver"
 	// VerdictDecline sends it back to the balancer.
 	VerdictDecline Verdict = "decline"
+	// VerdictAbsent tells the balancer that the flow is not held here.
+	VerdictAbsent Verdict = "absent"
 	// VerdictReset ends the flow at the caller.
 	VerdictReset Verdict = "reset"
 	// VerdictCaller sends a packet of the backend server to the caller.
@@ -40,6 +42,8 @@
 	Reason  pollenkernel.Refusal
 	// Held tells that the balancer should learn that the flow is held here.
 	Held bool
+	// Balancer is set where the packet itself does not tell who searched.
+	Balancer netip.AddrPort
 	// Opened tells that an opening packet was decided on; Wait is then the
 	// expected time until its request runs.
 	Opened bool
@@ -105,6 +109,14 @@
 	work    duration
 	silence silence
 	swept   time.Time
+	// searched holds the flows that were searched for and that only the backend
+	// server can tell of, with the balancer that asked.
+	searched map[pollenpacket.Flow]search
+}
+
+type search struct {
+	balancer netip.AddrPort
+	at       time.Time
 }
 
 // A stage says what a flow waits for.
@@ -137,7 +149,8 @@
 	return &Gate{
 		config: config, hash: pollensteer.ServiceHash(config.Service), begun: now,
 		routes: map[netip.AddrPort]*pollendocument.Route{}, flows: map[pollenpacket.Flow]*flow{},
-		load: average{at: now}, work: duration{value: defaultWork},
+		searched: map[pollenpacket.Flow]search{},
+		load:     average{at: now}, work: duration{value: defaultWork},
 	}
 }
 
@@ -227,13 +240,16 @@
 }
 
 // FromNode decides on a caller's packet that a balancer passed.
-func (g *Gate) FromNode(now time.Time, h *pollenlink.Header, p *pollenpacket.Packet) Decision {
+func (g *Gate) FromNode(now time.Time, from netip.AddrPort, h *pollenlink.Header, p *pollenpacket.Packet) Decision {
 	f := g.flows[p.Flow]
 	if p.Opening() {
 		return g.open(now, h, p, f)
 	}
-	if h.Kind == pollenlink.KindSearch && f == nil && !g.mayHoldUnknown(now) {
-		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalUnknownFlow}
+	if h.Kind == pollenlink.KindSearch && f == nil {
+		if !g.mayHoldUnknown(now) {
+			return Decision{Verdict: VerdictAbsent, Reason: pollenkernel.RefusalUnknownFlow}
+		}
+		g.searched[p.Flow] = search{balancer: from, at: now}
 	}
 	d := Decision{Verdict: VerdictDeliver, Reason: pollenkernel.RefusalNone}
 	if f == nil {
@@ -325,9 +341,12 @@
 func (g *Gate) returned(now time.Time, p *pollenpacket.Packet) Decision {
 	g.silence.heard(now)
 	g.forget(now, p.Flow)
+	if s, ok := g.searched[p.Flow]; ok {
+		delete(g.searched, p.Flow)
+		return Decision{Verdict: VerdictAbsent, Reason: pollenkernel.RefusalUnknownFlow, Balancer: s.balancer}
+	}
 	switch {
 	case p.Mark == 0:
-		// It was searched for here in vain; others got it as well.
 		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalUnknownFlow}
 	case p.Opening():
 		return Decision{Verdict: VerdictDecline, Reason: pollenkernel.RefusalConnectionLimit}
@@ -345,6 +364,8 @@
 	// idleTimeout is past any idle time that documents set.
 	idleTimeout   = 65 * time.Second
 	sweepInterval = time.Second
+	// searchTimeout bounds the wait for a packet that the server returns.
+	searchTimeout = time.Second
 )
 
 // Sweep gives up flows that came to nothing.
@@ -353,6 +374,11 @@
 		return
 	}
 	g.swept = now
+	for key, s := range g.searched {
+		if now.Sub(s.at) >= searchTimeout {
+			delete(g.searched, key)
+		}
+	}
 	for key, f := range g.flows {
 		age := now.Sub(f.used)
 		switch {
--- a/pollenlink/frame.go
+++ b/pollenlink/frame.go
@@ -25,6 +25,8 @@
 	KindSearch Kind = "search"
 	// KindDeclined carries a packet back to the balancer that passed it.
 	KindDeclined Kind = "declined"
+	// KindAbsent carries back a packet whose flow was searched for in vain.
+	KindAbsent Kind = "absent"
 	// KindHeld tells a balancer that the sender holds a flow.
 	KindHeld Kind = "held"
 	// KindBeat carries a pollenpeer.Beat.
@@ -42,6 +44,7 @@
 
 var kinds = [...]Kind{
 	KindPass, KindSearch, KindDeclined, KindHeld, KindBeat, KindUpdate, KindLog, KindJoin, KindCall, KindAnswer,
+	KindAbsent,
 }
 
 func (k Kind) code() byte {
@@ -62,7 +65,7 @@
 
 // carriesPacket reports whether a packet of a flow follows the header.
 func (k Kind) carriesPacket() bool {
-	return k == KindPass || k == KindSearch || k == KindDeclined
+	return k == KindPass || k == KindSearch || k == KindDeclined || k == KindAbsent
 }
 
 // HeaderSize is the number of bytes before the packet of a flow, and before a
--- a/pollennode/balancer.go
+++ b/pollennode/balancer.go
@@ -218,10 +218,18 @@
 		}
 	}
 	p, ok := b.settings.Format.Caller(datagram[pollenlink.HeaderSize:])
-	if !ok || h.Kind != pollenlink.KindDeclined {
+	if !ok || (h.Kind != pollenlink.KindDeclined && h.Kind != pollenlink.KindAbsent) {
 		b.malformed(from, len(datagram), string(h.Kind))
 		return
 	}
+	if h.Kind == pollenlink.KindAbsent {
+		b.mu.Lock()
+		d := b.steer.Absent(now, from, &p)
+		h.Revision = b.steer.Revision()
+		b.mu.Unlock()
+		b.carryOut(now, &p, &d, h, datagram)
+		return
+	}
 	if h.Reason != pollenkernel.RefusalNone {
 		b.metrics.Refused(h.Reason)
 	}
--- a/pollennode/gate.go
+++ b/pollennode/gate.go
@@ -167,8 +167,14 @@
 	case pollengate.VerdictCaller:
 		g.metrics.Count(pollenmetric.EventAnswerOut, 1)
 		g.send(packet, netip.AddrPortFrom(p.Flow.Caller.Addr(), g.settings.CallerPort))
-	case pollengate.VerdictDecline:
+	case pollengate.VerdictDecline, pollengate.VerdictAbsent:
 		h.Kind, h.Reason = pollenlink.KindDeclined, d.Reason
+		if d.Verdict == pollengate.VerdictAbsent {
+			h.Kind = pollenlink.KindAbsent
+		}
+		if d.Balancer.IsValid() {
+			balancer = d.Balancer
+		}
 		h.Put(datagram)
 		g.settings.Format.SetMark(packet, 0)
 		g.link.SendPacket(balancer, datagram)
@@ -213,7 +219,7 @@
 	}
 	g.metrics.Count(pollenmetric.EventPacketIn, 1)
 	g.mu.Lock()
-	d := g.gate.FromNode(now, &h, &p)
+	d := g.gate.FromNode(now, from, &h, &p)
 	g.mu.Unlock()
 	g.carryOut(now, from, &p, &d, h, datagram)
 }
--- a/pollensteer/balancer.go
+++ b/pollensteer/balancer.go
@@ -113,8 +113,10 @@
 	gate *gate
 	// used is when the flow's last packet came.
 	used time.Time
-	// searched counts the packets that were searched for without an answer.
-	searched uint8
+	// wide is set once every gate was asked, not only those of the route.
+	wide bool
+	// absent holds the gates that were searched and do not hold the flow.
+	absent []*gate
 }
 
 type route struct {
@@ -224,7 +226,7 @@
 		return b.open(now, k, r, p, h, known)
 	}
 	if !known {
-		return b.search(now, k, r, h, nil)
+		return b.search(now, k, r, h)
 	}
 	h.used = now
 	b.hints[k] = h
@@ -269,22 +271,23 @@
 	}
 }
 
-// search sends the packet to the gates that may hold its flow: those of the
-// route's services and, when they stayed silent, every other one, since a route
-// may have had other services when the flow was opened.
-func (b *Balancer) search(now time.Time, k key, r *route, h hint, without *gate) Decision {
-	const narrow = 2
+// search sends the packet to the gates that may hold its flow: first those of
+// the route's services, then every one, since the route may have had other
+// services when the flow was opened.
+func (b *Balancer) search(now time.Time, k key, r *route, h hint) Decision {
 	b.list = b.list[:0]
-	if h.searched < narrow {
+	if !h.wide {
 		for _, s := range r.Shares {
-			b.listGates(b.services[s.Service], without)
+			b.listGates(b.services[s.Service], h.absent)
 		}
-	} else {
+		h.wide = len(b.list) == 0
+	}
+	if h.wide {
 		for _, gates := range b.services {
-			b.listGates(gates, without)
+			b.listGates(gates, h.absent)
 		}
 	}
-	h = hint{used: now, searched: min(h.searched+1, narrow)}
+	h.gate, h.used = nil, now
 	b.remember(k, h)
 	if len(b.list) == 0 {
 		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalUnknownFlow}
@@ -292,14 +295,56 @@
 	return Decision{Verdict: VerdictSearch, Reason: pollenkernel.RefusalUnknownFlow, Gates: b.list}
 }
 
-func (b *Balancer) listGates(gates []*gate, without *gate) {
+func (b *Balancer) listGates(gates, without []*gate) {
 	for _, g := range gates {
-		if g != without {
+		if !slices.Contains(without, g) {
 			b.list = append(b.list, g.address)
 		}
 	}
 }
 
+// surelyKnown is how long after its start a balancer knows every gate that
+// lives: gates send beats to every balancer, and some may be lost.
+const surelyKnown = 5 * pollenpeer.Interval
+
+// Absent records that a gate was searched in vain. When every known gate was,
+// the flow is gone, and its caller is told at once instead of waiting for its
+// deadline. A gate that does not answer may still hold it.
+func (b *Balancer) Absent(now time.Time, from netip.AddrPort, p *pollenpacket.Packet) Decision {
+	k := keyOf(p.Flow)
+	h, searching := b.hints[k]
+	r, routed := b.routes[p.Flow.Service]
+	g := b.gates[from]
+	if !searching || !routed || g == nil || (h.gate != nil && !h.gate.gone) || slices.Contains(h.absent, g) {
+		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalUnknownFlow}
+	}
+	h.absent = append(slices.Clip(h.absent), g)
+	b.hints[k] = h
+	if !h.wide && b.allAbsent(r, h.absent) {
+		h.wide = true
+		if d := b.search(now, k, r, h); d.Verdict == VerdictSearch {
+			return d
+		}
+	}
+	if len(h.absent) < len(b.gates) || now.Sub(b.config.Begun) < surelyKnown {
+		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalUnknownFlow}
+	}
+	delete(b.hints, k)
+	return Decision{Verdict: VerdictReset, Reason: pollenkernel.RefusalUnknownFlow}
+}
+
+// allAbsent reports whether every gate of the route's services is in the list.
+func (b *Balancer) allAbsent(r *route, absent []*gate) bool {
+	for _, s := range r.Shares {
+		for _, g := range b.services[s.Service] {
+			if !slices.Contains(absent, g) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // Declined decides on a packet that a gate sent back.
 func (b *Balancer) Declined(now time.Time, from netip.AddrPort, h pollenlink.Header, p *pollenpacket.Packet) Decision {
 	r, ok := b.routes[p.Flow.Service]
@@ -315,7 +360,7 @@
 			b.hints[k] = known
 			return Decision{Verdict: VerdictPass, Gate: known.gate.address}
 		}
-		return b.search(now, k, r, known, decliner)
+		return b.search(now, k, r, lost(known, decliner))
 	}
 	if decliner != nil {
 		decliner.learn(h.Reason)
@@ -326,6 +371,15 @@
 	return b.place(now, k, r, decliner)
 }
 
+// lost returns the hint of a flow that its holder does not hold any more.
+func lost(h hint, decliner *gate) hint {
+	h.gate = nil
+	if decliner != nil && !slices.Contains(h.absent, decliner) {
+		h.absent = append(slices.Clip(h.absent), decliner)
+	}
+	return h
+}
+
 // learn corrects what is believed of a gate by its reason for declining, until
 // its next beat.
 func (g *gate) learn(why pollenkernel.Refusal) {
