--- a/pollensteer/balancer.go
+++ b/pollensteer/balancer.go
@@ -214,6 +214,10 @@
 		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalStale}
 	}
 	r, ok := b.routes[p.Flow.Service]
+	if !ok && now.Sub(b.config.Begun) < settleTime {
+		// The view that a host finds on its disk may lack the newest routes.
+		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalNoRoute}
+	}
 	if !ok {
 		return Decision{Verdict: VerdictReset, Reason: pollenkernel.RefusalNoRoute}
 	}
