--- a/pollenlink/link.go
+++ b/pollenlink/link.go
@@ -34,7 +34,7 @@
 	// TakeMessage takes a whole message.
 	TakeMessage(now time.Time, from netip.AddrPort, kind Kind, message []byte)
 	// TakeGarbage takes a datagram that is none of these.
-	TakeGarbage(from netip.AddrPort, size int)
+	TakeGarbage(now time.Time, from netip.AddrPort, size int)
 }
 
 // Open returns a new Link that is bound to the address.
@@ -68,7 +68,7 @@
 		h, ok := ReadHeader(buffer[:n])
 		switch {
 		case !ok:
-			handler.TakeGarbage(from, n)
+			handler.TakeGarbage(time.Now(), from, n)
 		case h.Kind.carriesPacket() || h.Kind == KindHeld:
 			handler.TakePacket(time.Now(), from, h, buffer[:n])
 		default:
@@ -93,12 +93,3 @@
 	l.id++
 	split(kind, l.id, message, l.buffer, func(datagram []byte) { l.SendPacket(to, datagram) })
 }
-
-// SendHeld tells a balancer that this node holds a flow.
-func (l *Link) SendHeld(to netip.AddrPort, h Header, flow []byte) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	h.Kind = KindHeld
-	h.Put(l.buffer)
-	l.SendPacket(to, append(l.buffer[:HeaderSize], flow...))
-}
--- a/pollennode/balancer.go
+++ b/pollennode/balancer.go
@@ -1,14 +1,9 @@
 package pollennode
 
 import (
-	"context"
-	"math/rand/v2"
-	"net"
 	"net/netip"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"pollenstep.example/pollenstep/pollencontrol"
 	"pollenstep.example/pollenstep/pollenkernel"
 	"pollenstep.example/pollenstep/pollenlink"
@@ -39,7 +34,6 @@
 type Balancer struct {
 	*base
 	control *control
-	data    *net.UDPConn
 
 	// The fields below are guarded by base.mu.
 	steer   *pollensteer.Balancer
@@ -49,31 +43,18 @@
 	calls   map[uint64]chan pollenlink.Answer
 }
 
-// NewBalancer returns a new Balancer with its sockets open.
-func NewBalancer(now time.Time, s Settings) (*Balancer, error) {
-	if s.Format == nil || !s.Callers.IsValid() || !s.Node.IsValid() {
-		return nil, errors.Wrap(ErrSettings, "a balancer needs a format, an address for nodes and one for callers")
-	}
+// NewBalancer returns a new Balancer that works with the parts.
+func NewBalancer(now time.Time, s Settings, parts Parts) *Balancer {
+	self := pollenpeer.Peer{Role: pollenpeer.RoleBalancer, Disk: s.Data != "", First: s.First}
 	b := &Balancer{
-		steer: pollensteer.New(pollensteer.Config{Domain: s.Domain, Begun: now, Seed: rand.Uint64()}),
+		base:  newBase(now, s, self, parts),
+		steer: pollensteer.New(pollensteer.Config{Domain: s.Domain, Begun: now, Seed: parts.Seed}),
 		calls: map[uint64]chan pollenlink.Answer{},
 	}
-	self := pollenpeer.Peer{Role: pollenpeer.RoleBalancer, Disk: s.Data != "", First: s.First}
-	var err error
-	if b.base, err = newBase(now, s, self, b.gauges()); err != nil {
-		return nil, err
-	}
-	if b.data, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.Callers)); err != nil {
-		return nil, errors.Wrapf(err, "open socket for callers at %s", s.Callers)
-	}
 	if s.Data != "" {
-		b.control = newControl(b)
-		b.Add("control", b.control.serve)
+		b.control = newControl(b, parts.Files)
 	}
-	b.Add("callers", b.serveCallers)
-	b.every("beats", tickInterval, b.tick)
-	b.stops = append(b.stops, b.stop)
-	return b, nil
+	return b
 }
 
 func (b *Balancer) gauges() map[string]pollenmetric.Gauge {
@@ -91,9 +72,6 @@
 	}
 }
 
-// Run serves until a planned stop has finished or something fails.
-func (b *Balancer) Run() error { return b.run(b) }
-
 // Ready reports whether callers' packets should be sent here.
 func (b *Balancer) Ready(now time.Time) bool {
 	b.mu.Lock()
@@ -109,32 +87,11 @@
 	return b.leader
 }
 
-// serveCallers steers callers' packets until the context ends.
-func (b *Balancer) serveCallers(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = b.data.Close() })
-	defer stop()
-	buffer := make([]byte, pollenlink.BufferSize)
-	for {
-		n, _, err := b.data.ReadFromUDPAddrPort(buffer[pollenlink.HeaderSize:])
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
-			if errors.Is(err, net.ErrClosed) {
-				return errors.Wrap(err, "read from callers")
-			}
-			// An earlier datagram was refused by its receiver.
-			continue
-		}
-		b.takeCaller(time.Now(), buffer[:pollenlink.HeaderSize+n])
-	}
-}
-
-// takeCaller steers one packet, which lies from pollenlink.HeaderSize on.
-func (b *Balancer) takeCaller(now time.Time, datagram []byte) {
+// TakeCaller steers one packet, which lies from pollenlink.HeaderSize on.
+func (b *Balancer) TakeCaller(now time.Time, datagram []byte) {
 	p, ok := b.settings.Format.Caller(datagram[pollenlink.HeaderSize:])
 	if !ok || p.Returned {
-		b.malformed(netip.AddrPort{}, len(datagram)-pollenlink.HeaderSize, "caller's packet")
+		b.malformed(now, netip.AddrPort{}, len(datagram)-pollenlink.HeaderSize, "caller's packet")
 		return
 	}
 	b.metrics.Count(pollenmetric.EventPacketIn, 1)
@@ -165,30 +122,21 @@
 		h.Kind = pollenlink.KindPass
 		h.Put(datagram)
 		b.settings.Format.SetMark(datagram[pollenlink.HeaderSize:], markOf(b.settings.Node))
-		b.link.SendPacket(d.Gate, datagram)
+		b.outlet.Node(d.Gate, datagram)
 	case pollensteer.VerdictSearch:
 		b.metrics.Retried(pollenkernel.RetrySearch)
 		h.Kind = pollenlink.KindSearch
 		h.Put(datagram)
 		b.settings.Format.SetMark(datagram[pollenlink.HeaderSize:], 0)
 		for _, g := range d.Gates {
-			b.link.SendPacket(g, datagram)
+			b.outlet.Node(g, datagram)
 		}
 	case pollensteer.VerdictReset:
-		b.reset(b.data, p)
+		b.reset(p)
 	case pollensteer.VerdictDrop:
 	}
 }
 
-// reset ends a flow at its caller.
-func (b *base) reset(conn *net.UDPConn, p *pollenpacket.Packet) {
-	reset := b.settings.Format.AppendReset(make([]byte, 0, pollenlink.BufferSize/8), p)
-	to := netip.AddrPortFrom(p.Flow.Caller.Addr(), b.settings.CallerPort)
-	if _, err := conn.WriteToUDPAddrPort(reset, to); err != nil {
-		b.metrics.Count(pollenmetric.EventSendFailed, 1)
-	}
-}
-
 // markOf returns the mark by which a gate finds the balancer that passed a
 // packet: its IPv4 address.
 func markOf(node netip.AddrPort) uint32 {
@@ -219,7 +167,7 @@
 	}
 	p, ok := b.settings.Format.Caller(datagram[pollenlink.HeaderSize:])
 	if !ok || (h.Kind != pollenlink.KindDeclined && h.Kind != pollenlink.KindAbsent) {
-		b.malformed(from, len(datagram), string(h.Kind))
+		b.malformed(now, from, len(datagram), string(h.Kind))
 		return
 	}
 	if h.Kind == pollenlink.KindAbsent {
@@ -245,31 +193,31 @@
 func (b *Balancer) TakeMessage(now time.Time, from netip.AddrPort, kind pollenlink.Kind, message []byte) {
 	switch kind {
 	case pollenlink.KindBeat:
-		if beat, ok := take(b.base, from, kind, message, pollenwire.MapBeat); ok {
+		if beat, ok := take(now, b.base, from, kind, message, pollenwire.MapBeat); ok {
 			b.hear(now, &beat)
 		}
 	case pollenlink.KindUpdate:
-		if u, ok := take(b.base, from, kind, message, pollenwire.MapUpdate); ok {
+		if u, ok := take(now, b.base, from, kind, message, pollenwire.MapUpdate); ok {
 			b.mu.Lock()
 			b.moveForward(now, u, from)
 			b.mu.Unlock()
 		}
 	case pollenlink.KindLog:
-		if m, ok := take(b.base, from, kind, message, pollenwire.MapMessage); ok && b.control != nil {
-			b.control.postMessage(pollencontrol.LogMessage{Message: m})
+		if m, ok := take(now, b.base, from, kind, message, pollenwire.MapMessage); ok && b.control != nil {
+			b.control.postMessage(now, pollencontrol.LogMessage{Message: m})
 		}
 	case pollenlink.KindJoin:
-		if j, ok := take(b.base, from, kind, message, pollenwire.MapJoin); ok && b.control != nil {
-			b.control.postMessage(j)
+		if j, ok := take(now, b.base, from, kind, message, pollenwire.MapJoin); ok && b.control != nil {
+			b.control.postMessage(now, j)
 		}
 	case pollenlink.KindCall:
-		if call, ok := take(b.base, from, kind, message, pollenwire.MapCall); ok {
-			b.answer(call, func(a pollenlink.Answer) {
-				b.link.SendMessage(from, pollenlink.KindAnswer, pollenwire.Marshal(&a, pollenwire.MapCallAnswer))
+		if call, ok := take(now, b.base, from, kind, message, pollenwire.MapCall); ok {
+			b.answer(now, call, func(a pollenlink.Answer) {
+				b.outlet.Message(from, pollenlink.KindAnswer, pollenwire.Marshal(&a, pollenwire.MapCallAnswer))
 			})
 		}
 	case pollenlink.KindAnswer:
-		if a, ok := take(b.base, from, kind, message, pollenwire.MapCallAnswer); ok {
+		if a, ok := take(now, b.base, from, kind, message, pollenwire.MapCallAnswer); ok {
 			b.mu.Lock()
 			waiting := b.calls[a.ID]
 			delete(b.calls, a.ID)
@@ -279,7 +227,7 @@
 			}
 		}
 	default:
-		b.malformed(from, len(message), string(kind))
+		b.malformed(now, from, len(message), string(kind))
 	}
 }
 
@@ -289,7 +237,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	change := b.table.Hear(now, beat)
-	b.logPeer(change, &beat.Peer)
+	b.logPeer(now, change, &beat.Peer)
 	if beat.Founder.IsValid() && len(b.settings.Seeds) > 0 && beat.Peer.Address == b.settings.Seeds[0] {
 		b.founder = beat.Founder
 	}
@@ -316,7 +264,8 @@
 	return beat
 }
 
-func (b *Balancer) tick(now time.Time) {
+// Tick does what is due.
+func (b *Balancer) Tick(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, p := range b.table.Expire(now) {
@@ -412,7 +361,7 @@
 }
 
 func (b *Balancer) sendLog(to netip.AddrPort, m *pollenlog.Message) {
-	b.link.SendMessage(to, pollenlink.KindLog, pollenwire.Marshal(m, pollenwire.MapMessage))
+	b.outlet.Message(to, pollenlink.KindLog, pollenwire.Marshal(m, pollenwire.MapMessage))
 }
 
 // sendJoin asks every host with a disk to be taken in.
@@ -421,15 +370,14 @@
 	defer b.mu.Unlock()
 	for _, a := range b.table.Balancers() {
 		if k, ok := b.table.Get(a); ok && k.Peer.Disk {
-			b.link.SendMessage(a, pollenlink.KindJoin, pollenwire.Marshal(&j, pollenwire.MapJoin))
+			b.outlet.Message(a, pollenlink.KindJoin, pollenwire.Marshal(&j, pollenwire.MapJoin))
 		}
 	}
 }
 
-// stop turns unready, hands leadership over and serves on until the fabric has
-// noticed.
-func (b *Balancer) stop() {
-	now := time.Now()
+// Leave turns unready and hands leadership over. The program serves on until
+// the fabric has noticed.
+func (b *Balancer) Leave(now time.Time) {
 	b.mu.Lock()
 	b.table.Self().Leaving = true
 	own := b.ownBeat(now)
@@ -438,7 +386,6 @@
 	}
 	b.mu.Unlock()
 	if b.control != nil {
-		b.control.postMessage(pollencontrol.Handover{})
+		b.control.postMessage(now, pollencontrol.Handover{})
 	}
-	time.Sleep(lingerTime)
 }
--- a/pollennode/control.go
+++ b/pollennode/control.go
@@ -40,7 +40,11 @@
 // that a disk that stalls holds up nothing else.
 type control struct {
 	b     *Balancer
+	files pollenstore.FileSystem
 	inbox chan controlEvent
+	// direct makes post handle events itself, for a program that is driven by
+	// one goroutine.
+	direct bool
 
 	// The fields below belong to the goroutine.
 	folder *pollenstore.Folder
@@ -62,27 +66,29 @@
 	reply func(pollencontrol.Answer)
 }
 
-func newControl(b *Balancer) *control {
+func newControl(b *Balancer, files pollenstore.FileSystem) *control {
 	return &control{
-		b: b, inbox: make(chan controlEvent, inboxSize),
+		b: b, files: files, inbox: make(chan controlEvent, inboxSize),
 		waiting: map[pollencontrol.Token]func(pollencontrol.Answer){},
 	}
 }
 
 // post queues an event; a full queue loses it, as a network may.
-func (c *control) post(e controlEvent) bool {
+func (c *control) post(now time.Time, e controlEvent) {
+	if c.direct {
+		c.take(now, e)
+		return
+	}
 	select {
 	case c.inbox <- e:
-		return true
 	default:
 		c.b.metrics.Count(pollenmetric.EventSendFailed, 1)
-		return false
 	}
 }
 
 // postMessage queues an event that has no answer.
-func (c *control) postMessage(e pollencontrol.Event) {
-	c.post(controlEvent{event: func(pollencontrol.Token) pollencontrol.Event { return e }})
+func (c *control) postMessage(now time.Time, e pollencontrol.Event) {
+	c.post(now, controlEvent{event: func(pollencontrol.Token) pollencontrol.Event { return e }})
 }
 
 func drawIdentity() pollenlog.ReplicaID {
@@ -146,7 +152,7 @@
 
 // open opens the data folder and makes the replica that it holds.
 func (c *control) open(now time.Time) error {
-	folder, stored, err := pollenstore.Open(pollenstore.Disk{}, c.b.settings.Data, drawIdentity)
+	folder, stored, err := pollenstore.Open(c.files, c.b.settings.Data, drawIdentity)
 	if err != nil {
 		return err
 	}
--- a/pollennode/gate.go
+++ b/pollennode/gate.go
@@ -1,13 +1,9 @@
 package pollennode
 
 import (
-	"context"
-	"net"
 	"net/netip"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"pollenstep.example/pollenstep/pollengate"
 	"pollenstep.example/pollenstep/pollenkernel"
 	"pollenstep.example/pollenstep/pollenlink"
@@ -25,7 +21,6 @@
 // A Gate is the program beside one backend server.
 type Gate struct {
 	*base
-	outbound *net.UDPConn
 
 	// The fields below are guarded by base.mu.
 	gate *pollengate.Gate
@@ -33,23 +28,12 @@
 	told pollenpeer.Server
 }
 
-// NewGate returns a new Gate with its sockets open.
-func NewGate(now time.Time, s Settings) (*Gate, error) {
-	if s.Format == nil || !s.Outbound.IsValid() || !s.Server.IsValid() || !s.Node.IsValid() || s.Service == "" {
-		return nil, errors.Wrap(ErrSettings, "a gate needs a format, a service, and addresses for nodes, its server and outbound packets")
-	}
-	g := &Gate{gate: pollengate.New(now, pollengate.Config{Domain: s.Domain, Service: s.Service, Bounds: s.Bounds})}
-	var err error
-	if g.base, err = newBase(now, s, pollenpeer.Peer{Role: pollenpeer.RoleGate}, g.gauges()); err != nil {
-		return nil, err
+// NewGate returns a new Gate that works with the parts.
+func NewGate(now time.Time, s Settings, parts Parts) *Gate {
+	return &Gate{
+		base: newBase(now, s, pollenpeer.Peer{Role: pollenpeer.RoleGate}, parts),
+		gate: pollengate.New(now, pollengate.Config{Domain: s.Domain, Service: s.Service, Bounds: s.Bounds}),
 	}
-	if g.outbound, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.Outbound)); err != nil {
-		return nil, errors.Wrapf(err, "open socket for the backend server at %s", s.Outbound)
-	}
-	g.Add("server", g.serveServer)
-	g.every("beats", tickInterval, g.tick)
-	g.stops = append(g.stops, g.stop)
-	return g, nil
 }
 
 func (g *Gate) gauges() map[string]pollenmetric.Gauge {
@@ -67,9 +51,6 @@
 	}
 }
 
-// Run serves until a planned stop has finished or something fails.
-func (g *Gate) Run() error { return g.run(g) }
-
 // Ready reports whether the backend server takes new flows through this gate.
 func (g *Gate) Ready(now time.Time) bool {
 	g.mu.Lock()
@@ -109,31 +90,12 @@
 	g.beat(now)
 }
 
-// serveServer takes the backend server's packets until the context ends.
-func (g *Gate) serveServer(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = g.outbound.Close() })
-	defer stop()
-	buffer := make([]byte, pollenlink.BufferSize)
-	for {
-		n, _, err := g.outbound.ReadFromUDPAddrPort(buffer[pollenlink.HeaderSize:])
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
-			if errors.Is(err, net.ErrClosed) {
-				return errors.Wrap(err, "read from the backend server")
-			}
-			// The backend server was not there for an earlier datagram.
-			continue
-		}
-		g.takeServer(time.Now(), buffer[:pollenlink.HeaderSize+n])
-	}
-}
-
-func (g *Gate) takeServer(now time.Time, datagram []byte) {
+// TakeServer takes a packet that the backend server sent or returned, which lies
+// from pollenlink.HeaderSize on.
+func (g *Gate) TakeServer(now time.Time, datagram []byte) {
 	p, ok := g.settings.Format.Server(datagram[pollenlink.HeaderSize:])
 	if !ok {
-		g.malformed(netip.AddrPort{}, len(datagram)-pollenlink.HeaderSize, "backend server's packet")
+		g.malformed(now, netip.AddrPort{}, len(datagram)-pollenlink.HeaderSize, "backend server's packet")
 		return
 	}
 	g.metrics.Count(pollenmetric.EventAnswerIn, 1)
@@ -163,10 +125,10 @@
 	switch d.Verdict {
 	case pollengate.VerdictDeliver:
 		g.metrics.Count(pollenmetric.EventPacketOut, 1)
-		g.send(packet, g.settings.Server)
+		g.outlet.Server(packet)
 	case pollengate.VerdictCaller:
 		g.metrics.Count(pollenmetric.EventAnswerOut, 1)
-		g.send(packet, netip.AddrPortFrom(p.Flow.Caller.Addr(), g.settings.CallerPort))
+		g.outlet.Caller(netip.AddrPortFrom(p.Flow.Caller.Addr(), g.settings.CallerPort), packet)
 	case pollengate.VerdictDecline, pollengate.VerdictAbsent:
 		h.Kind, h.Reason = pollenlink.KindDeclined, d.Reason
 		if d.Verdict == pollengate.VerdictAbsent {
@@ -177,19 +139,16 @@
 		}
 		h.Put(datagram)
 		g.settings.Format.SetMark(packet, 0)
-		g.link.SendPacket(balancer, datagram)
+		g.outlet.Node(balancer, datagram)
 	case pollengate.VerdictReset:
-		g.reset(g.outbound, p)
+		g.reset(p)
 	case pollengate.VerdictDrop:
 	}
 	if d.Held {
-		g.link.SendHeld(balancer, h, pollenlink.AppendFlow(nil, p.Flow))
-	}
-}
-
-func (g *Gate) send(packet []byte, to netip.AddrPort) {
-	if _, err := g.outbound.WriteToUDPAddrPort(packet, to); err != nil {
-		g.metrics.Count(pollenmetric.EventSendFailed, 1)
+		h.Kind = pollenlink.KindHeld
+		held := make([]byte, pollenlink.HeaderSize, 2*pollenlink.HeaderSize)
+		h.Put(held)
+		g.outlet.Node(balancer, pollenlink.AppendFlow(held, p.Flow))
 	}
 }
 
@@ -214,7 +173,7 @@
 func (g *Gate) TakePacket(now time.Time, from netip.AddrPort, h pollenlink.Header, datagram []byte) {
 	p, ok := g.settings.Format.Caller(datagram[pollenlink.HeaderSize:])
 	if !ok || p.Returned || (h.Kind != pollenlink.KindPass && h.Kind != pollenlink.KindSearch) {
-		g.malformed(from, len(datagram), string(h.Kind))
+		g.malformed(now, from, len(datagram), string(h.Kind))
 		return
 	}
 	g.metrics.Count(pollenmetric.EventPacketIn, 1)
@@ -228,17 +187,17 @@
 func (g *Gate) TakeMessage(now time.Time, from netip.AddrPort, kind pollenlink.Kind, message []byte) {
 	switch kind {
 	case pollenlink.KindBeat:
-		if beat, ok := take(g.base, from, kind, message, pollenwire.MapBeat); ok {
+		if beat, ok := take(now, g.base, from, kind, message, pollenwire.MapBeat); ok {
 			g.mu.Lock()
 			change := g.table.Hear(now, &beat)
-			g.logPeer(change, &beat.Peer)
+			g.logPeer(now, change, &beat.Peer)
 			if change == pollenpeer.ChangeNew {
 				g.beat(now)
 			}
 			g.mu.Unlock()
 		}
 	case pollenlink.KindUpdate:
-		if u, ok := take(g.base, from, kind, message, pollenwire.MapUpdate); ok {
+		if u, ok := take(now, g.base, from, kind, message, pollenwire.MapUpdate); ok {
 			g.mu.Lock()
 			if g.accept(u, from) {
 				g.gate.SetView(g.view.View())
@@ -246,11 +205,12 @@
 			g.mu.Unlock()
 		}
 	default:
-		g.malformed(from, len(message), string(kind))
+		g.malformed(now, from, len(message), string(kind))
 	}
 }
 
-func (g *Gate) tick(now time.Time) {
+// Tick does what is due.
+func (g *Gate) Tick(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, p := range g.table.Expire(now) {
@@ -291,13 +251,12 @@
 	}
 }
 
-// stop makes the balancers send new flows elsewhere before the process falls
+// Leave makes the balancers send new flows elsewhere before the program falls
 // silent. Open flows go on after the restart, or end with their backend server.
-func (g *Gate) stop() {
+func (g *Gate) Leave(now time.Time) {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.gate.Leave()
 	g.table.Self().Leaving = true
-	g.beat(time.Now())
-	g.mu.Unlock()
-	time.Sleep(partTime)
+	g.beat(now)
 }
--- a/pollennode/operate.go
+++ b/pollennode/operate.go
@@ -110,9 +110,9 @@
 		b.mu.Unlock()
 	}()
 	if to == b.settings.Node {
-		b.answer(call, func(a pollenlink.Answer) { answers <- a })
+		b.answer(time.Now(), call, func(a pollenlink.Answer) { answers <- a })
 	} else {
-		b.link.SendMessage(to, pollenlink.KindCall, pollenwire.Marshal(&call, pollenwire.MapCall))
+		b.outlet.Message(to, pollenlink.KindCall, pollenwire.Marshal(&call, pollenwire.MapCall))
 	}
 	select {
 	case a := <-answers:
@@ -125,7 +125,7 @@
 }
 
 // answer answers a call once this host's replica has decided it.
-func (b *Balancer) answer(call pollenlink.Call, reply func(pollenlink.Answer)) {
+func (b *Balancer) answer(now time.Time, call pollenlink.Call, reply func(pollenlink.Answer)) {
 	if b.control == nil {
 		reply(pollenlink.Answer{ID: call.ID, Result: pollenlink.ResultAgain, Reason: "this host keeps no replica"})
 		return
@@ -135,7 +135,7 @@
 		reply(pollenlink.Answer{ID: call.ID, Result: pollenlink.ResultRefused, Reason: err.Error()})
 		return
 	}
-	b.control.post(controlEvent{event: event, reply: func(a pollencontrol.Answer) { reply(b.resultOf(call, a)) }})
+	b.control.post(now, controlEvent{event: event, reply: func(a pollencontrol.Answer) { reply(b.resultOf(call, a)) }})
 }
 
 // eventOf returns the event that a call asks for.
--- /dev/null
+++ b/pollennode/outlet.go
@@ -0,0 +1,66 @@
+package pollennode
+
+import (
+	"net"
+	"net/netip"
+
+	"github.com/pkg/errors"
+
+	"pollenstep.example/pollenstep/pollenlink"
+	"pollenstep.example/pollenstep/pollenmetric"
+)
+
+// An Outlet sends what a program has decided. What it sends may be lost. The
+// data belongs to the caller again when a method returns.
+type Outlet interface {
+	// Node sends a datagram that begins with a pollenlink.Header.
+	Node(to netip.AddrPort, datagram []byte)
+	// Message sends a message to another node.
+	Message(to netip.AddrPort, kind pollenlink.Kind, message []byte)
+	// Caller sends a packet to the caller at the address.
+	Caller(to netip.AddrPort, packet []byte)
+	// Server gives a packet to the backend server beside a gate.
+	Server(packet []byte)
+}
+
+// sockets is the Outlet of a process.
+type sockets struct {
+	metrics *pollenmetric.Set
+	link    *pollenlink.Link
+	// outer is the socket towards callers, and at a gate also towards the
+	// backend server.
+	outer  *net.UDPConn
+	server netip.AddrPort
+}
+
+// openSockets opens the socket for nodes and the one at the outer address.
+func openSockets(s *Settings, outer netip.AddrPort, metrics *pollenmetric.Set) (*sockets, error) {
+	k := &sockets{metrics: metrics, server: s.Server}
+	var err error
+	if k.link, err = pollenlink.Open(s.Node); err != nil {
+		return nil, err
+	}
+	k.link.OnLost = func(netip.AddrPort, error) { metrics.Count(pollenmetric.EventSendFailed, 1) }
+	if k.outer, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(outer)); err != nil {
+		return nil, errors.Wrapf(err, "open socket for packets of flows at %s", outer)
+	}
+	return k, nil
+}
+
+// Node implements Outlet.
+func (k *sockets) Node(to netip.AddrPort, datagram []byte) { k.link.SendPacket(to, datagram) }
+
+// Message implements Outlet.
+func (k *sockets) Message(to netip.AddrPort, kind pollenlink.Kind, message []byte) {
+	k.link.SendMessage(to, kind, message)
+}
+
+// Caller implements Outlet.
+func (k *sockets) Caller(to netip.AddrPort, packet []byte) {
+	if _, err := k.outer.WriteToUDPAddrPort(packet, to); err != nil {
+		k.metrics.Count(pollenmetric.EventSendFailed, 1)
+	}
+}
+
+// Server implements Outlet.
+func (k *sockets) Server(packet []byte) { k.Caller(k.server, packet) }
--- a/pollennode/settings.go
+++ b/pollennode/settings.go
@@ -64,3 +64,17 @@
 	// longer than a round trip between the farthest hosts.
 	catchUpInterval = 150 * time.Millisecond
 )
+
+func (s *Settings) checkBalancer() error {
+	if s.Format == nil || !s.Callers.IsValid() || !s.Node.IsValid() {
+		return errors.Wrap(ErrSettings, "a balancer needs a format, an address for nodes and one for callers")
+	}
+	return nil
+}
+
+func (s *Settings) checkGate() error {
+	if s.Format == nil || !s.Outbound.IsValid() || !s.Server.IsValid() || !s.Node.IsValid() || s.Service == "" {
+		return errors.Wrap(ErrSettings, "a gate needs a format, a service, and addresses for nodes, its server and outbound packets")
+	}
+	return nil
+}
