--- a/pollensteer/balancer.go
+++ b/pollensteer/balancer.go
@@ -102,8 +102,6 @@
 	swept    time.Time
 	// list is the memory of Decision.Gates.
 	list []netip.AddrPort
-	// eligible is the memory of choose.
-	eligible []*gate
 }
 
 type key [12]byte
@@ -330,13 +328,24 @@
 			return d
 		}
 	}
-	if len(h.absent) < len(b.gates) || now.Sub(b.config.Begun) < surelyKnown {
+	if !b.everyGateAbsent(h.absent) || now.Sub(b.config.Begun) < surelyKnown {
 		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalUnknownFlow}
 	}
 	delete(b.hints, k)
 	return Decision{Verdict: VerdictReset, Reason: pollenkernel.RefusalUnknownFlow}
 }
 
+// everyGateAbsent reports whether every known gate is in the list, which may
+// also hold gates that are gone.
+func (b *Balancer) everyGateAbsent(absent []*gate) bool {
+	for _, g := range b.gates {
+		if !slices.Contains(absent, g) {
+			return false
+		}
+	}
+	return true
+}
+
 // allAbsent reports whether every gate of the route's services is in the list.
 func (b *Balancer) allAbsent(r *route, absent []*gate) bool {
 	for _, s := range r.Shares {
--- /dev/null
+++ b/pollensteer/balancer_test.go
@@ -0,0 +1,248 @@
+package pollensteer_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"pollenstep.example/pollenstep/pollendocument"
+	"pollenstep.example/pollenstep/pollenkernel"
+	"pollenstep.example/pollenstep/pollenlink"
+	"pollenstep.example/pollenstep/pollenpacket"
+	"pollenstep.example/pollenstep/pollenpeer"
+	"pollenstep.example/pollenstep/pollensteer"
+	"pollenstep.example/pollenstep/pollenview"
+)
+
+var (
+	begun   = time.Unix(1000, 0)
+	settled = begun.Add(time.Minute)
+	feed    = netip.MustParseAddrPort("198.51.100.1:443")
+	sheets  = netip.MustParseAddrPort("198.51.100.1:80")
+)
+
+func view(revision pollenview.Revision, emptied ...pollendocument.DomainName) *pollenview.View {
+	v := pollenview.NewView()
+	v.Revision = revision
+	v.Emptied = emptied
+	v.Declared = pollendocument.Declaration{
+		Version: uint64(revision),
+		Routes: []pollendocument.Route{
+			{Name: "feed", Address: feed, Shares: []pollendocument.Share{{Service: "rings", Weight: 1}}},
+			{Name: "sheets", Address: sheets, Shares: []pollendocument.Share{{Service: "sheets", Weight: 1}}},
+		},
+	}
+	return v
+}
+
+func address(n int) netip.AddrPort { return netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:7000", n)) }
+
+func gate(n int, service pollendocument.ServiceName) *pollenpeer.Peer {
+	return &pollenpeer.Peer{
+		Address: address(n), Role: pollenpeer.RoleGate, Domain: "a",
+		Server: pollenpeer.Server{Service: service, State: pollenpeer.ServerReady, Slots: 2},
+	}
+}
+
+// balancer returns a Balancer with two gates of rings and one of sheets.
+func balancer() *pollensteer.Balancer {
+	b := pollensteer.New(pollensteer.Config{Domain: "a", Begun: begun, Seed: 1})
+	b.SetView(view(1))
+	b.SetGate(settled, gate(1, "rings"))
+	b.SetGate(settled, gate(2, "rings"))
+	b.SetGate(settled, gate(3, "sheets"))
+	return b
+}
+
+func packet(port uint16) *pollenpacket.Packet {
+	caller := netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), port)
+	return &pollenpacket.Packet{Flow: pollenpacket.Flow{Caller: caller, Service: feed}, Answer: true, Acknowledged: 7}
+}
+
+func opening(port uint16, copies uint32) *pollenpacket.Packet {
+	p := packet(port)
+	p.Open, p.Answer, p.Acknowledged = true, false, copies
+	return p
+}
+
+func want(t *testing.T, d pollensteer.Decision, verdict pollensteer.Verdict, why pollenkernel.Refusal) {
+	t.Helper()
+	if d.Verdict != verdict || d.Reason != why {
+		t.Fatalf("decision %+v; want %s for %q", d, verdict, why)
+	}
+}
+
+func TestPacketsFollowTheOpening(t *testing.T) {
+	b := balancer()
+	first := b.Steer(settled, opening(1, 0))
+	want(t, first, pollensteer.VerdictPass, "")
+	for _, p := range []*pollenpacket.Packet{opening(1, 1), packet(1)} {
+		d := b.Steer(settled, p)
+		if want(t, d, pollensteer.VerdictPass, ""); d.Gate != first.Gate {
+			t.Fatalf("packet passed to %s; the opening went to %s", d.Gate, first.Gate)
+		}
+	}
+	// The last copy goes elsewhere: nothing has answered the ones before.
+	last := b.Steer(settled, opening(1, 2))
+	if last.Gate == first.Gate || last.Retry != pollenkernel.RetryOpening {
+		t.Fatalf("last copy: %+v", last)
+	}
+}
+
+func TestSilentGateGetsNoOpening(t *testing.T) {
+	b := balancer()
+	later := settled.Add(pollenpeer.Fresh)
+	b.SetGate(later, gate(2, "rings"))
+	for port := range uint16(50) {
+		if d := b.Steer(later, opening(port, 0)); d.Gate != address(2) {
+			t.Fatalf("flow opened at %s, which was not heard of for %s", d.Gate, pollenpeer.Fresh)
+		}
+	}
+}
+
+func TestEmptiedDomainAndDrainingGetNoOpening(t *testing.T) {
+	b := balancer()
+	draining := gate(1, "rings")
+	draining.Server.State = pollenpeer.ServerDraining
+	b.SetGate(settled, draining)
+	if d := b.Steer(settled, opening(1, 0)); d.Gate != address(2) {
+		t.Fatalf("flow opened at %s", d.Gate)
+	}
+	b.SetView(view(2, "a"))
+	want(t, b.Steer(settled, opening(2, 0)), pollensteer.VerdictReset, pollenkernel.RefusalNoMember)
+	// The flow that is open stays where it is.
+	want(t, b.Steer(settled, packet(1)), pollensteer.VerdictPass, "")
+}
+
+// TestRestart replays the wave after all processes start at once: callers have
+// few retries, so nothing is reset that a moment later would be served.
+func TestRestart(t *testing.T) {
+	b := pollensteer.New(pollensteer.Config{Domain: "a", Begun: begun, Seed: 1})
+	want(t, b.Steer(begun, opening(1, 0)), pollensteer.VerdictDrop, pollenkernel.RefusalStale)
+	b.SetView(view(1))
+	soon := begun.Add(300 * time.Millisecond)
+	want(t, b.Steer(soon, opening(1, 0)), pollensteer.VerdictDrop, pollenkernel.RefusalNotReady)
+	unknown := opening(1, 0)
+	unknown.Flow.Service = netip.MustParseAddrPort("198.51.100.9:1")
+	want(t, b.Steer(soon, unknown), pollensteer.VerdictDrop, pollenkernel.RefusalNoRoute)
+	want(t, b.Steer(settled, opening(1, 0)), pollensteer.VerdictReset, pollenkernel.RefusalNoMember)
+	want(t, b.Steer(settled, unknown), pollensteer.VerdictReset, pollenkernel.RefusalNoRoute)
+}
+
+func TestSearchFindsTheHolder(t *testing.T) {
+	b := balancer()
+	d := b.Steer(settled, packet(1))
+	if want(t, d, pollensteer.VerdictSearch, pollenkernel.RefusalUnknownFlow); len(d.Gates) != 2 {
+		t.Fatalf("searched %v; want the gates of the route's service", d.Gates)
+	}
+	b.Held(settled, address(2), packet(1).Flow)
+	if d := b.Steer(settled, packet(1)); d.Verdict != pollensteer.VerdictPass || d.Gate != address(2) {
+		t.Fatalf("after the holder answered: %+v", d)
+	}
+	// An absent gate changes nothing once the holder is known.
+	want(t, b.Absent(settled, address(1), packet(1)), pollensteer.VerdictDrop, pollenkernel.RefusalUnknownFlow)
+}
+
+func TestFlowThatNobodyHoldsIsReset(t *testing.T) {
+	b := balancer()
+	b.Steer(settled, packet(1))
+	want(t, b.Absent(settled, address(1), packet(1)), pollensteer.VerdictDrop, pollenkernel.RefusalUnknownFlow)
+	d := b.Absent(settled, address(2), packet(1))
+	if want(t, d, pollensteer.VerdictSearch, pollenkernel.RefusalUnknownFlow); len(d.Gates) != 1 || d.Gates[0] != address(3) {
+		t.Fatalf("after the route's gates, searched %v; want every other one", d.Gates)
+	}
+	want(t, b.Absent(settled, address(3), packet(1)), pollensteer.VerdictReset, pollenkernel.RefusalUnknownFlow)
+}
+
+// TestFlowIsNotResetWhileAGateIsSilent has a gate that was searched in vain go
+// away: it must not stand for the one that did not answer.
+func TestFlowIsNotResetWhileAGateIsSilent(t *testing.T) {
+	b := balancer()
+	b.SetGate(settled, gate(4, "sheets"))
+	b.Steer(settled, packet(1))
+	b.Absent(settled, address(1), packet(1))
+	b.Absent(settled, address(2), packet(1))
+	b.RemoveGate(address(1))
+	want(t, b.Absent(settled, address(3), packet(1)), pollensteer.VerdictDrop, pollenkernel.RefusalUnknownFlow)
+	want(t, b.Absent(settled, address(4), packet(1)), pollensteer.VerdictReset, pollenkernel.RefusalUnknownFlow)
+}
+
+func TestDeclinedOpeningComesToRest(t *testing.T) {
+	b := balancer()
+	d := b.Steer(settled, opening(1, 0))
+	h := pollenlink.Header{Kind: pollenlink.KindDeclined, Reason: pollenkernel.RefusalSlots}
+	for hops := uint8(1); hops < 4; hops++ {
+		h.Hops = hops
+		before := d.Gate
+		if d = b.Declined(settled, before, h, opening(1, 0)); d.Gate == before || d.Verdict != pollensteer.VerdictPass {
+			t.Fatalf("hop %d: %+v after %s", hops, d, before)
+		}
+	}
+	h.Hops = 4
+	want(t, b.Declined(settled, d.Gate, h, opening(1, 0)), pollensteer.VerdictReset, pollenkernel.RefusalHopLimit)
+}
+
+// TestReusedAddress has the address of a gate go to another service.
+func TestReusedAddress(t *testing.T) {
+	b := balancer()
+	d := b.Steer(settled, opening(1, 0))
+	for n := 1; n <= 2; n++ {
+		b.SetGate(settled, gate(n, "sheets"))
+	}
+	if again := b.Steer(settled, packet(1)); again.Verdict == pollensteer.VerdictPass {
+		t.Fatalf("packet still passed to %s, which serves another service than at %s", again.Gate, d.Gate)
+	}
+}
+
+// spread counts the flows that each gate gets when one balancer places them by
+// beats that are an interval old.
+func TestSpreadOverStaleLoads(t *testing.T) {
+	b := balancer()
+	counts := map[netip.AddrPort]int{}
+	for i := range 1000 {
+		if i%20 == 0 {
+			for n := 1; n <= 2; n++ {
+				p := gate(n, "rings")
+				p.Server.Running = counts[address(n)] % 7
+				b.SetGate(settled, p)
+			}
+		}
+		counts[b.Steer(settled, opening(uint16(i), 0)).Gate]++
+	}
+	for a, n := range counts {
+		if n < 400 || n > 600 {
+			t.Errorf("%s got %d of 1000 flows", a, n)
+		}
+	}
+}
+
+func BenchmarkForward(b *testing.B) {
+	s := balancer()
+	s.Steer(settled, opening(1, 0))
+	p := packet(1)
+	b.ReportAllocs()
+	for b.Loop() {
+		s.Steer(settled, p)
+	}
+}
+
+func BenchmarkPlace(b *testing.B) {
+	for _, n := range []int{10, 65, 5800} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s := pollensteer.New(pollensteer.Config{Domain: "a", Begun: begun, Seed: 1})
+			s.SetView(view(1))
+			for i := range n {
+				p := gate(1, "rings")
+				p.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 7000)
+				s.SetGate(settled, p)
+			}
+			b.ReportAllocs()
+			port := uint16(0)
+			for b.Loop() {
+				port++
+				s.Steer(settled, opening(port, 0))
+			}
+		})
+	}
+}
--- a/pollensteer/choose.go
+++ b/pollensteer/choose.go
@@ -46,31 +46,53 @@
 	return nil
 }
 
+// maxDraws bounds the gates that are looked at before the whole list is: with
+// half of the gates usable, one choice in 30,000 needs the list.
+const maxDraws = 16
+
 // chooseOf draws two usable gates and returns the one with less unfinished
 // work. Taking the best of all would send the flows of every balancer to the
 // same gate until its next beat.
 func (b *Balancer) chooseOf(now time.Time, gates []*gate, without *gate) *gate {
-	b.eligible = b.eligible[:0]
-	for _, g := range gates {
-		if g != without && b.usable(now, g) {
-			b.eligible = append(b.eligible, g)
-		}
-	}
-	n := len(b.eligible)
-	switch n {
-	case 0:
+	if len(gates) == 0 {
 		return nil
-	case 1:
-		return b.eligible[0]
 	}
-	i := b.random.IntN(n)
-	j := b.random.IntN(n - 1)
-	if j >= i {
-		j++
+	var first *gate
+	for range maxDraws {
+		g := gates[b.random.IntN(len(gates))]
+		switch {
+		case g == first || g == without || !b.usable(now, g):
+		case first == nil:
+			first = g
+		default:
+			return lighter(first, g)
+		}
+	}
+	return b.lightest(now, gates, without)
+}
+
+// lightest returns the usable gate with the least unfinished work of all, from
+// a random place on.
+func (b *Balancer) lightest(now time.Time, gates []*gate, without *gate) *gate {
+	var best *gate
+	start := b.random.IntN(len(gates))
+	for i := range gates {
+		g := gates[(start+i)%len(gates)]
+		switch {
+		case g == without || !b.usable(now, g):
+		case best == nil:
+			best = g
+		default:
+			best = lighter(best, g)
+		}
 	}
-	first, second := b.eligible[i], b.eligible[j]
-	if second.load()/float64(max(1, second.server.Slots)) < first.load()/float64(max(1, first.server.Slots)) {
-		return second
+	return best
+}
+
+// lighter returns the gate with less unfinished work for each slot.
+func lighter(a, b *gate) *gate {
+	if b.load()/float64(max(1, b.server.Slots)) < a.load()/float64(max(1, a.server.Slots)) {
+		return b
 	}
-	return first
+	return a
 }
