Claim a flow only if its caller took this server's answer; never reset a copy

Cause: a copy of an opening packet may go to a second backend server.

Change: a gate compares what the caller acknowledges with its server's stream. Copies are dropped where an opening packet would be reset. One stalled request no longer sets the estimate of all.

--- a/pollengate/admit.go
+++ b/pollengate/admit.go
@@ -34,14 +34,16 @@
 		return Decision{Verdict: VerdictDecline, Reason: pollenkernel.RefusalSlots, Opened: true, Wait: wait}
 	}
 	if r := g.routes[p.Flow.Service]; r != nil && wait > 0 {
-		if wait > r.Timeout {
+		// A copy may be of a flow that was opened elsewhere meanwhile, and a reset
+		// would end that one.
+		if wait > r.Timeout && p.Acknowledged == 0 {
 			return Decision{Verdict: VerdictReset, Reason: pollenkernel.RefusalSlots, Opened: true, Wait: wait}
 		}
 		if wait > g.patience(r, p.Acknowledged) {
 			return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalSlots, Opened: true, Wait: wait}
 		}
 	}
-	made := &flow{stage: stageIdle, used: now, since: now, highest: p.Sequence + 1}
+	made := &flow{opened: true, stage: stageIdle, used: now, since: now, highest: p.Sequence + 1}
 	g.flows[p.Flow] = made
 	g.setStage(now, made, stageOpening)
 	g.starts.add(now)
--- a/pollengate/gate.go
+++ b/pollengate/gate.go
@@ -138,8 +138,11 @@
 	used time.Time
 	// highest is the end of the stream that the caller has sent.
 	highest uint32
-	// answered is set once the backend server has sent a packet of the flow.
-	answered bool
+	// opened is set if the flow's opening packet was seen here, and answered once
+	// the backend server has answered that. From then on its stream runs from
+	// serverFirst to serverNext.
+	opened, answered        bool
+	serverFirst, serverNext uint32
 	// callerDone and serverDone are set once that end has closed its stream.
 	callerDone, serverDone bool
 }
@@ -245,6 +248,15 @@
 	if p.Opening() {
 		return g.open(now, h, p, f)
 	}
+	if f != nil && !f.acknowledgedBy(p) {
+		// A copy of the opening packet went to another backend server, and the
+		// caller took that one's answer.
+		g.forget(now, p.Flow)
+		if h.Kind == pollenlink.KindSearch {
+			return Decision{Verdict: VerdictAbsent, Reason: pollenkernel.RefusalUnknownFlow}
+		}
+		return Decision{Verdict: VerdictDecline, Reason: pollenkernel.RefusalUnknownFlow}
+	}
 	if h.Kind == pollenlink.KindSearch && f == nil {
 		if !g.mayHoldUnknown(now) {
 			return Decision{Verdict: VerdictAbsent, Reason: pollenkernel.RefusalUnknownFlow}
@@ -261,6 +273,15 @@
 	return d
 }
 
+// acknowledgedBy reports whether a caller's packet can belong to the flow that
+// the backend server opened: it acknowledges something of that one's stream.
+func (f *flow) acknowledgedBy(p *pollenpacket.Packet) bool {
+	if !f.opened || p.Reset {
+		return true
+	}
+	return f.answered && int32(p.Acknowledged-f.serverFirst) > 0 && int32(f.serverNext-p.Acknowledged) >= 0
+}
+
 // unknownFor is how long after its own start a gate must reckon with flows that
 // it has not seen: longer than any flow may be silent.
 const unknownFor = 65 * time.Second
@@ -323,7 +344,8 @@
 		f = &flow{stage: stageIdle, since: now}
 		g.flows[p.Flow] = f
 	}
-	f.used, f.answered = now, true
+	f.used = now
+	f.followServer(p)
 	if p.Size > 0 && f.stage == stageRunning {
 		g.work.add(now.Sub(f.since))
 	}
@@ -337,6 +359,20 @@
 	return Decision{Verdict: VerdictCaller, Reason: pollenkernel.RefusalNone}
 }
 
+// followServer notes how far the backend server's stream goes.
+func (f *flow) followServer(p *pollenpacket.Packet) {
+	next := p.Sequence + uint32(p.Size)
+	if p.Open || p.Finish {
+		next++
+	}
+	switch {
+	case p.Open && p.Answer && !f.answered:
+		f.answered, f.serverFirst, f.serverNext = true, p.Sequence, next
+	case f.answered && int32(next-f.serverNext) > 0:
+		f.serverNext = next
+	}
+}
+
 // returned decides on a packet that the backend server would not take.
 func (g *Gate) returned(now time.Time, p *pollenpacket.Packet) Decision {
 	g.silence.heard(now)
--- /dev/null
+++ b/pollengate/gate_test.go
@@ -0,0 +1,293 @@
+package pollengate_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"pollenstep.example/pollenstep/pollendocument"
+	"pollenstep.example/pollenstep/pollengate"
+	"pollenstep.example/pollenstep/pollenkernel"
+	"pollenstep.example/pollenstep/pollenlink"
+	"pollenstep.example/pollenstep/pollenpacket"
+	"pollenstep.example/pollenstep/pollenpeer"
+	"pollenstep.example/pollenstep/pollensteer"
+	"pollenstep.example/pollenstep/pollenview"
+)
+
+var (
+	begun    = time.Unix(1000, 0)
+	balancer = netip.MustParseAddrPort("10.0.0.1:7000")
+	feed     = netip.MustParseAddrPort("198.51.100.1:443")
+	slots    = 2
+)
+
+func view(revision pollenview.Revision, coldRate float64, emptied ...pollendocument.DomainName) *pollenview.View {
+	v := pollenview.NewView()
+	v.Revision = revision
+	v.Emptied = emptied
+	v.Declared = pollendocument.Declaration{
+		Version: uint64(revision),
+		Routes: []pollendocument.Route{{
+			Name: "feed", Address: feed, Shares: []pollendocument.Share{{Service: "rings", Weight: 1}},
+			Objective: 150 * time.Millisecond, Timeout: 1500 * time.Millisecond,
+		}},
+		Pools: []pollendocument.Pool{{Name: "rings", ColdRate: coldRate}},
+	}
+	return v
+}
+
+func report(state pollenpeer.ServerState, sequence uint64) pollengate.Report {
+	return pollengate.Report{
+		Name: "i-1", Service: "rings", State: state, Slots: slots, Born: 1, Sequence: sequence,
+	}
+}
+
+// ready returns a Gate whose backend server takes flows.
+func ready(coldRate float64, cold time.Duration) *pollengate.Gate {
+	g := pollengate.New(begun, pollengate.Config{
+		Domain: "a", Service: "rings",
+		Bounds: pollengate.Bounds{ColdFactor: 1.5, ColdSlack: 5, ReportInterval: time.Second},
+	})
+	g.SetView(view(1, coldRate))
+	r := report(pollenpeer.ServerReady, 1)
+	r.Cold = cold
+	g.Report(begun, r)
+	return g
+}
+
+func flow(port uint16) pollenpacket.Flow {
+	return pollenpacket.Flow{Caller: netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), port), Service: feed}
+}
+
+// open passes a caller's opening packet that was tried at so many gates before.
+func open(g *pollengate.Gate, now time.Time, port uint16, copies uint32, hops uint8) pollengate.Decision {
+	h := pollenlink.Header{Kind: pollenlink.KindPass, Hops: hops, Service: pollensteer.ServiceHash("rings"), Revision: 1}
+	return g.FromNode(now, balancer, &h, &pollenpacket.Packet{Flow: flow(port), Open: true, Sequence: 100, Acknowledged: copies})
+}
+
+// pass passes a caller's later packet.
+func pass(g *pollengate.Gate, now time.Time, port uint16, kind pollenlink.Kind, acknowledged uint32, size int) pollengate.Decision {
+	h := pollenlink.Header{Kind: kind, Revision: 1}
+	p := pollenpacket.Packet{Flow: flow(port), Answer: true, Sequence: 101, Acknowledged: acknowledged, Size: size}
+	return g.FromNode(now, balancer, &h, &p)
+}
+
+// accept lets the backend server answer an opening packet with sequence 500.
+func accept(g *pollengate.Gate, now time.Time, port uint16) {
+	g.FromServer(now, &pollenpacket.Packet{Flow: flow(port), Open: true, Answer: true, Sequence: 500, Acknowledged: 101})
+}
+
+func want(t *testing.T, d pollengate.Decision, verdict pollengate.Verdict, why pollenkernel.Refusal) {
+	t.Helper()
+	if d.Verdict != verdict || d.Reason != why {
+		t.Fatalf("decision %+v; want %s for %q", d, verdict, why)
+	}
+}
+
+func TestOpeningNeedsAReadyServer(t *testing.T) {
+	g := pollengate.New(begun, pollengate.Config{Domain: "a", Service: "rings", Bounds: pollengate.Bounds{ReportInterval: time.Second}})
+	g.SetView(view(1, 0))
+	want(t, open(g, begun, 1, 0, 0), pollengate.VerdictDecline, pollenkernel.RefusalNotReady)
+	g.Report(begun, report(pollenpeer.ServerReady, 1))
+	want(t, open(g, begun, 1, 0, 0), pollengate.VerdictDeliver, "")
+	// From the report on that it drains, it gets nothing new.
+	g.Report(begun, report(pollenpeer.ServerDraining, 2))
+	want(t, open(g, begun, 2, 0, 0), pollengate.VerdictDecline, pollenkernel.RefusalDraining)
+	accept(g, begun, 1)
+	want(t, pass(g, begun, 1, pollenlink.KindPass, 501, 10), pollengate.VerdictDeliver, "")
+}
+
+func TestSilentServerGetsNoOpening(t *testing.T) {
+	g := ready(0, 0)
+	want(t, open(g, begun.Add(3100*time.Millisecond), 1, 0, 0), pollengate.VerdictDecline, pollenkernel.RefusalServerSilent)
+	g.Report(begun.Add(3200*time.Millisecond), report(pollenpeer.ServerReady, 2))
+	want(t, open(g, begun.Add(3200*time.Millisecond), 1, 0, 0), pollengate.VerdictDeliver, "")
+}
+
+// TestUnansweredOpenings has a server stop answering between two reports.
+func TestUnansweredOpenings(t *testing.T) {
+	g := ready(0, 0)
+	for i := range 4 {
+		open(g, begun.Add(time.Duration(i)*110*time.Millisecond), uint16(i), 0, 9)
+	}
+	want(t, open(g, begun.Add(450*time.Millisecond), 9, 0, 9), pollengate.VerdictDecline, pollenkernel.RefusalServerSilent)
+}
+
+func TestEmptiedDomainAndDroppedRoute(t *testing.T) {
+	g := ready(0, 0)
+	g.SetView(view(2, 0, "a"))
+	want(t, open(g, begun, 1, 0, 0), pollengate.VerdictDecline, pollenkernel.RefusalDomainOut)
+	v := view(3, 0)
+	v.Declared.Routes = nil
+	g.SetView(v)
+	want(t, open(g, begun, 1, 0, 0), pollengate.VerdictDecline, pollenkernel.RefusalNoRoute)
+	g.SetView(view(2, 0))
+	want(t, open(g, begun, 1, 0, 0), pollengate.VerdictDecline, pollenkernel.RefusalNoRoute)
+}
+
+// TestNewerViewOfTheBalancer has a gate lag behind a route that was just added.
+func TestNewerViewOfTheBalancer(t *testing.T) {
+	g := ready(0, 0)
+	h := pollenlink.Header{Kind: pollenlink.KindPass, Service: pollensteer.ServiceHash("rings"), Revision: 2}
+	p := pollenpacket.Packet{Flow: flow(1), Open: true}
+	p.Flow.Service = netip.MustParseAddrPort("198.51.100.1:8443")
+	want(t, g.FromNode(begun, balancer, &h, &p), pollengate.VerdictDeliver, "")
+	h.Service = pollensteer.ServiceHash("sheets")
+	want(t, g.FromNode(begun, balancer, &h, &p), pollengate.VerdictDecline, pollenkernel.RefusalWrongService)
+}
+
+// TestColdRate replays a cold return: a server that bears 4 requests a second
+// gets no more than its bound in any second.
+func TestColdRate(t *testing.T) {
+	g := ready(4, 10*time.Second)
+	bound := 4*1.5 + 5
+	var taken []time.Time
+	for i := range 1000 {
+		now := begun.Add(time.Duration(i) * 2 * time.Millisecond)
+		if open(g, now, uint16(i), 0, 9).Verdict == pollengate.VerdictDeliver {
+			accept(g, now, uint16(i))
+			pass(g, now, uint16(i), pollenlink.KindPass, 501, 10)
+			g.FromServer(now, &pollenpacket.Packet{Flow: flow(uint16(i)), Answer: true, Sequence: 501, Size: 10})
+			taken = append(taken, now)
+		}
+	}
+	for i := range taken {
+		n := 0
+		for _, at := range taken[i:] {
+			if at.Sub(taken[i]) < time.Second {
+				n++
+			}
+		}
+		if float64(n) > bound {
+			t.Fatalf("%d flows within a second; the bound is %g", n, bound)
+		}
+	}
+	if len(taken) == 0 {
+		t.Fatal("a cold server got nothing at all")
+	}
+}
+
+func TestNoColdRateHoldsToNothing(t *testing.T) {
+	g := ready(0, 10*time.Second)
+	for i := range 10 {
+		want(t, open(g, begun, uint16(i), 0, 9), pollengate.VerdictDeliver, "")
+		accept(g, begun, uint16(i))
+		pass(g, begun, uint16(i), pollenlink.KindPass, 501, 10)
+		g.FromServer(begun, &pollenpacket.Packet{Flow: flow(uint16(i)), Answer: true, Sequence: 501, Size: 10})
+	}
+}
+
+// TestWave replays a wave of callers whose flows broke at once: newcomers that
+// can still be in time are taken, those that cannot are left to their copies.
+func TestWave(t *testing.T) {
+	g := ready(0, 0)
+	taken := 0
+	for i := range 100 {
+		if open(g, begun, uint16(i), 0, 9).Verdict == pollengate.VerdictDeliver {
+			taken++
+		}
+	}
+	if taken <= slots || taken > slots+6 {
+		t.Fatalf("%d of 100 were taken at once; 2 slots of 30 ms serve 8 of them within 150 ms", taken)
+	}
+	want(t, open(g, begun.Add(200*time.Millisecond), 99, 1, 9), pollengate.VerdictDrop, pollenkernel.RefusalSlots)
+	// Before the last hop, another gate is asked.
+	want(t, open(g, begun, 200, 0, 0), pollengate.VerdictDecline, pollenkernel.RefusalSlots)
+	// Once the others were answered, a copy is taken as well.
+	for i := range 100 {
+		accept(g, begun, uint16(i))
+		g.FromServer(begun, &pollenpacket.Packet{Flow: flow(uint16(i)), Answer: true, Sequence: 501, Size: 10})
+	}
+	want(t, open(g, begun.Add(600*time.Millisecond), 99, 2, 9), pollengate.VerdictDeliver, "")
+}
+
+// TestCopyOpenedElsewhere has a caller take the answer that another backend
+// server gave to a copy: this gate must not claim the flow.
+func TestCopyOpenedElsewhere(t *testing.T) {
+	for name, answered := range map[string]bool{"answered": true, "not yet answered": false} {
+		g := ready(0, 0)
+		open(g, begun, 1, 0, 0)
+		if answered {
+			accept(g, begun, 1)
+		}
+		d := pass(g, begun, 1, pollenlink.KindSearch, 9001, 10)
+		if d.Verdict != pollengate.VerdictAbsent || d.Held {
+			t.Errorf("%s: searched: %+v; want absent", name, d)
+		}
+		open(g, begun, 2, 0, 0)
+		if answered {
+			accept(g, begun, 2)
+		}
+		want(t, pass(g, begun, 2, pollenlink.KindPass, 9001, 10), pollengate.VerdictDecline, pollenkernel.RefusalUnknownFlow)
+	}
+}
+
+// TestRestartedGate takes over a backend server with open flows.
+func TestRestartedGate(t *testing.T) {
+	g := ready(0, 0)
+	want(t, pass(g, begun, 1, pollenlink.KindPass, 77, 10), pollengate.VerdictDeliver, "")
+	want(t, pass(g, begun, 2, pollenlink.KindSearch, 77, 10), pollengate.VerdictDeliver, "")
+	// The server holds flow 1 and does not hold flow 2.
+	want(t, g.FromServer(begun, &pollenpacket.Packet{Flow: flow(1), Answer: true, Sequence: 77, Size: 5}), pollengate.VerdictCaller, "")
+	if d := pass(g, begun, 1, pollenlink.KindSearch, 77, 10); d.Verdict != pollengate.VerdictDeliver || !d.Held {
+		t.Fatalf("flow that the server holds: %+v", d)
+	}
+	returned := pollenpacket.Packet{Flow: flow(2), Answer: true, Returned: true}
+	if d := g.FromServer(begun, &returned); d.Verdict != pollengate.VerdictAbsent || d.Balancer != balancer {
+		t.Fatalf("searched packet came back: %+v", d)
+	}
+	returned.Mark = 1
+	want(t, g.FromServer(begun, &returned), pollengate.VerdictDecline, pollenkernel.RefusalUnknownFlow)
+	// Long after its start, it knows every flow.
+	want(t, pass(g, begun.Add(70*time.Second), 3, pollenlink.KindSearch, 77, 10), pollengate.VerdictAbsent, pollenkernel.RefusalUnknownFlow)
+}
+
+func TestFullServerReturnsTheOpening(t *testing.T) {
+	g := ready(0, 0)
+	open(g, begun, 1, 0, 0)
+	p := pollenpacket.Packet{Flow: flow(1), Open: true, Returned: true, Mark: 1}
+	want(t, g.FromServer(begun, &p), pollengate.VerdictDecline, pollenkernel.RefusalConnectionLimit)
+	if s := g.Server(begun); s.Running != 0 {
+		t.Fatalf("%d requests running after the server returned the only one", s.Running)
+	}
+}
+
+func TestReports(t *testing.T) {
+	g := ready(0, 0)
+	g.Report(begun, report(pollenpeer.ServerReady, 5))
+	stale := report(pollenpeer.ServerDraining, 4)
+	if g.Report(begun, stale) {
+		t.Fatal("a report that was overtaken is taken")
+	}
+	earlier := report(pollenpeer.ServerDraining, 9)
+	earlier.Born = 0
+	if g.Report(begun, earlier) {
+		t.Fatal("a report of an earlier start is taken")
+	}
+	other := report(pollenpeer.ServerReady, 9)
+	other.Service = "sheets"
+	if g.Report(begun, other) {
+		t.Fatal("a report of another service is taken")
+	}
+	again := report(pollenpeer.ServerReady, 1)
+	again.Born = 2
+	open(g, begun, 1, 0, 0)
+	if !g.Report(begun, again) || g.Server(begun).Flows != 0 {
+		t.Fatal("flows of the earlier start are kept")
+	}
+}
+
+func BenchmarkDeliver(b *testing.B) {
+	g := ready(0, 0)
+	open(g, begun, 1, 0, 0)
+	accept(g, begun, 1)
+	h := pollenlink.Header{Kind: pollenlink.KindPass, Revision: 1}
+	p := pollenpacket.Packet{Flow: flow(1), Answer: true, Sequence: 101, Acknowledged: 501, Size: 10}
+	answer := pollenpacket.Packet{Flow: flow(1), Answer: true, Sequence: 501, Size: 10}
+	b.ReportAllocs()
+	for b.Loop() {
+		g.FromNode(begun, balancer, &h, &p)
+		g.FromServer(begun, &answer)
+	}
+}
--- a/pollengate/measure.go
+++ b/pollengate/measure.go
@@ -56,7 +56,13 @@
 // durationShare is the weight of one request in the mean: its 1/durationShare.
 const durationShare = 16
 
-func (d *duration) add(took time.Duration) { d.value += (took - d.value) / durationShare }
+// longestWork bounds what one request adds: a server that stood still for
+// seconds does not take seconds for the next request.
+const longestWork = time.Second
+
+func (d *duration) add(took time.Duration) {
+	d.value += (min(took, longestWork) - d.value) / durationShare
+}
 
 // silence tells a backend server that no longer answers from one that has
 // nothing to do.
--- a/pollensteer/balancer.go
+++ b/pollensteer/balancer.go
@@ -217,7 +217,7 @@
 		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalNoRoute}
 	}
 	if !ok {
-		return Decision{Verdict: VerdictReset, Reason: pollenkernel.RefusalNoRoute}
+		return refuse(p, pollenkernel.RefusalNoRoute)
 	}
 	k := keyOf(p.Flow)
 	h, known := b.hints[k]
@@ -235,6 +235,15 @@
 	return Decision{Verdict: VerdictPass, Gate: h.gate.address}
 }
 
+// refuse resets a flow, except for a copy of an opening packet: an earlier one
+// may just have opened the flow, and the reset would end it.
+func refuse(p *pollenpacket.Packet, why pollenkernel.Refusal) Decision {
+	if p.Opening() && p.Acknowledged > 0 {
+		return Decision{Verdict: VerdictDrop, Reason: why}
+	}
+	return Decision{Verdict: VerdictReset, Reason: why}
+}
+
 // resendCopy is the copy of an opening packet that goes elsewhere even if the
 // gate seems well: by then the caller has waited in vain for both earlier ones.
 const resendCopy = 2
@@ -248,21 +257,21 @@
 		return Decision{Verdict: VerdictPass, Gate: h.gate.address, Service: ServiceHash(h.gate.server.Service)}
 	}
 	if !known {
-		return b.place(now, k, r, nil)
+		return b.place(now, k, r, p, nil)
 	}
-	d := b.place(now, k, r, h.gate)
+	d := b.place(now, k, r, p, h.gate)
 	d.Retry = pollenkernel.RetryOpening
 	return d
 }
 
 // place chooses a gate for a new flow.
-func (b *Balancer) place(now time.Time, k key, r *route, without *gate) Decision {
+func (b *Balancer) place(now time.Time, k key, r *route, p *pollenpacket.Packet, without *gate) Decision {
 	g := b.choose(now, r, without)
 	if g == nil && now.Sub(b.config.Begun) < settleTime {
 		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalNotReady}
 	}
 	if g == nil {
-		return Decision{Verdict: VerdictReset, Reason: pollenkernel.RefusalNoMember}
+		return refuse(p, pollenkernel.RefusalNoMember)
 	}
 	load, age := g.load(), now.Sub(g.heard)
 	g.sent++
@@ -362,7 +371,7 @@
 func (b *Balancer) Declined(now time.Time, from netip.AddrPort, h pollenlink.Header, p *pollenpacket.Packet) Decision {
 	r, ok := b.routes[p.Flow.Service]
 	if !ok {
-		return Decision{Verdict: VerdictReset, Reason: pollenkernel.RefusalNoRoute}
+		return refuse(p, pollenkernel.RefusalNoRoute)
 	}
 	k := keyOf(p.Flow)
 	known := b.hints[k]
@@ -379,9 +388,9 @@
 		decliner.learn(h.Reason)
 	}
 	if h.Hops >= maxHops {
-		return Decision{Verdict: VerdictReset, Reason: pollenkernel.RefusalHopLimit}
+		return refuse(p, pollenkernel.RefusalHopLimit)
 	}
-	return b.place(now, k, r, decliner)
+	return b.place(now, k, r, p, decliner)
 }
 
 // lost returns the hint of a flow that its holder does not hold any more.
--- a/pollensteer/balancer_test.go
+++ b/pollensteer/balancer_test.go
@@ -195,6 +195,17 @@
 	}
 }
 
+// TestCopyIsNeverReset has the only gate leave between an opening packet, which
+// it may have taken, and its copy.
+func TestCopyIsNeverReset(t *testing.T) {
+	b := balancer()
+	b.Steer(settled, opening(1, 0))
+	b.RemoveGate(address(1))
+	b.RemoveGate(address(2))
+	want(t, b.Steer(settled, opening(1, 1)), pollensteer.VerdictDrop, pollenkernel.RefusalNoMember)
+	want(t, b.Steer(settled, opening(2, 0)), pollensteer.VerdictReset, pollenkernel.RefusalNoMember)
+}
+
 // spread counts the flows that each gate gets when one balancer places them by
 // beats that are an interval old.
 func TestSpreadOverStaleLoads(t *testing.T) {
