Emulate whole systems in virtual time; tell a new balancer of every gate at once

Change: the answer to a new balancer's beat lists the gates, which it then asks; it is ready once no new gate was heard for two round trips.

--- a/pollencommand/command.go
+++ b/pollencommand/command.go
@@ -95,7 +95,7 @@
 			roleCommand(pollensettings.RoleBalancer, "pass callers' packets to agents"),
 			roleCommand(pollensettings.RoleAgent, "stand beside one backend server"),
 			keysCommand(), checkCommand(), submitCommand(), showCommand(), diffCommand(),
-			statusCommand(), repairCommand(), replayCommand(), versionCommand(),
+			statusCommand(), repairCommand(), replayCommand(), emulateCommand(), versionCommand(),
 		},
 	}
 	return root
--- /dev/null
+++ b/pollenemulator/disk.go
@@ -0,0 +1,136 @@
+package pollenemulator
+
+import (
+	"maps"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"syscall"
+
+	"pollenstep.example/pollenstep/pollenstore"
+)
+
+// A disk is a file system in memory that loses, with the power, what was not
+// synced.
+type disk struct {
+	random *rand.Rand
+	// files holds what programs see, synced what a loss of power leaves.
+	files, synced map[string][]byte
+	// full makes every write fail.
+	full bool
+}
+
+func newDisk(seed uint64) *disk {
+	return &disk{random: rand.New(rand.NewPCG(seed, 3)), files: map[string][]byte{}, synced: map[string][]byte{}}
+}
+
+// losePower forgets what was not synced, except for a random part of what was
+// written at the end of files.
+func (d *disk) losePower() {
+	files := map[string][]byte{}
+	for name, kept := range d.synced {
+		if now := d.files[name]; len(now) > len(kept) && slices.Equal(now[:len(kept)], kept) {
+			kept = now[:len(kept)+d.random.IntN(len(now)-len(kept)+1)]
+		}
+		files[name] = slices.Clone(kept)
+	}
+	d.files, d.synced = files, maps.Clone(files)
+}
+
+// wipe empties the disk.
+func (d *disk) wipe() { d.files, d.synced = map[string][]byte{}, map[string][]byte{} }
+
+func (d *disk) fail() error {
+	if d.full {
+		return syscall.ENOSPC
+	}
+	return nil
+}
+
+// MakeFolder implements pollenstore.FileSystem.
+func (d *disk) MakeFolder(string) error { return nil }
+
+// ReadFile implements pollenstore.FileSystem.
+func (d *disk) ReadFile(path string) ([]byte, error) {
+	data, ok := d.files[path]
+	if !ok {
+		return nil, os.ErrNotExist
+	}
+	return slices.Clone(data), nil
+}
+
+// Create implements pollenstore.FileSystem.
+func (d *disk) Create(path string) (pollenstore.File, error) {
+	if err := d.fail(); err != nil {
+		return nil, err
+	}
+	d.files[path] = nil
+	return &file{d: d, path: path}, nil
+}
+
+// Append implements pollenstore.FileSystem.
+func (d *disk) Append(path string) (pollenstore.File, error) {
+	if _, ok := d.files[path]; !ok {
+		d.files[path] = nil
+	}
+	return &file{d: d, path: path}, nil
+}
+
+// Rename implements pollenstore.FileSystem.
+func (d *disk) Rename(from, to string) error {
+	if err := d.fail(); err != nil {
+		return err
+	}
+	d.files[to] = d.files[from]
+	delete(d.files, from)
+	return nil
+}
+
+// Truncate implements pollenstore.FileSystem.
+func (d *disk) Truncate(path string, size int64) error {
+	d.files[path] = d.files[path][:size]
+	d.synced[path] = slices.Clone(d.files[path])
+	return nil
+}
+
+// SyncFolder implements pollenstore.FileSystem.
+func (d *disk) SyncFolder(string) error {
+	for name, data := range d.files {
+		if _, ok := d.synced[name]; !ok || len(d.synced[name]) > len(data) || !slices.Equal(data[:len(d.synced[name])], d.synced[name]) {
+			d.synced[name] = slices.Clone(data)
+		}
+	}
+	for name := range d.synced {
+		if _, ok := d.files[name]; !ok {
+			delete(d.synced, name)
+		}
+	}
+	return nil
+}
+
+// A file is open for writing at its end.
+type file struct {
+	d    *disk
+	path string
+}
+
+// Write implements pollenstore.File.
+func (f *file) Write(data []byte) (int, error) {
+	if err := f.d.fail(); err != nil {
+		return 0, err
+	}
+	f.d.files[f.path] = append(f.d.files[f.path], data...)
+	return len(data), nil
+}
+
+// Sync implements pollenstore.File.
+func (f *file) Sync() error {
+	if err := f.d.fail(); err != nil {
+		return err
+	}
+	f.d.synced[f.path] = slices.Clone(f.d.files[f.path])
+	return nil
+}
+
+// Close implements pollenstore.File.
+func (f *file) Close() error { return nil }
--- /dev/null
+++ b/pollenemulator/host.go
@@ -0,0 +1,205 @@
+package pollenemulator
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"pollenstep.example/pollenstep/pollendocument"
+	"pollenstep.example/pollenstep/pollengate"
+	"pollenstep.example/pollenstep/pollenlink"
+	"pollenstep.example/pollenstep/pollenmetric"
+	"pollenstep.example/pollenstep/pollennode"
+	"pollenstep.example/pollenstep/pollenpacket"
+)
+
+// reportInterval is the time between two reports of a backend server.
+const reportInterval = 1200 * time.Millisecond
+
+// A host runs one program, with pauses.
+type host struct {
+	w      *world
+	domain pollendocument.DomainName
+	node   netip.AddrPort
+	// server is set on the host of a gate.
+	server *server
+	disk   *disk
+	// starts counts the programs that ran here; the functions of an earlier one
+	// that are still due do nothing.
+	starts   int
+	balancer *pollennode.Balancer
+	gate     *pollennode.Gate
+	// thaw is until when the host stands still.
+	thaw time.Time
+	// away is set while the host is down or removed.
+	away bool
+}
+
+func newHost(w *world, domain, number int) *host {
+	h := &host{
+		w: w, domain: w.plan.Domains[domain],
+		node: netip.AddrPortFrom(hostAddress(domain, number), nodePort),
+	}
+	w.hosts = append(w.hosts, h)
+	w.nodes[h.node] = h
+	return h
+}
+
+func (h *host) running() bool { return h.balancer != nil || h.gate != nil }
+
+// start runs a new program.
+func (h *host) start(first bool) {
+	h.starts++
+	h.away = false
+	s := pollennode.Settings{
+		Name: h.node.String(), Domain: h.domain, Node: h.node, Seeds: h.w.seeds, First: first, CallerPort: callerPort,
+		Callers: netip.AddrPortFrom(h.node.Addr(), callerPort), Format: pollenpacket.Plain{},
+		Bounds: pollengate.Bounds{ColdFactor: 1.5, ColdSlack: 5, ReportInterval: reportInterval},
+	}
+	metrics, err := pollenmetric.NewSet("emulated", s.Name, nil)
+	if err != nil {
+		// The same instruments are made at every start.
+		panic(err)
+	}
+	parts := pollennode.Parts{
+		Outlet: &outlet{h: h, start: h.starts}, Metrics: metrics, Record: h.w.record, Seed: h.w.random.Uint64(), Direct: true,
+	}
+	if h.server != nil {
+		s.Service, s.Server, s.Outbound = h.server.service.Name, h.node, h.node
+		h.gate = pollennode.NewGate(h.w.now, s, parts)
+		h.every(pollennode.Interval, h.gate.Tick)
+		return
+	}
+	if h.disk != nil {
+		s.Data, parts.Files = "/data", h.disk
+	}
+	h.balancer = pollennode.NewBalancer(h.w.now, s, parts)
+	h.every(pollennode.Interval, h.balancer.Tick)
+	if h.disk != nil {
+		h.every(pollennode.ControlInterval, h.balancer.TickControl)
+	}
+}
+
+// every calls step at the interval, from a random moment on, while the present
+// program runs.
+func (h *host) every(interval time.Duration, step func(now time.Time)) {
+	start := h.starts
+	var next func()
+	next = func() {
+		if h.starts != start || !h.running() {
+			return
+		}
+		if h.frozen() {
+			h.w.after(h.thaw.Sub(h.w.now), next)
+			return
+		}
+		step(h.w.now)
+		h.w.after(interval, next)
+	}
+	h.w.after(time.Duration(h.w.random.Int64N(int64(interval))), next)
+}
+
+func (h *host) frozen() bool { return h.w.now.Before(h.thaw) }
+
+// whenAwake runs what arrives at the host, once it is not frozen, unless the
+// program that it was meant for has ended.
+func (h *host) whenAwake(run func()) {
+	start := h.starts
+	if !h.running() {
+		return
+	}
+	if !h.frozen() {
+		run()
+		return
+	}
+	h.w.after(h.thaw.Sub(h.w.now), func() {
+		if h.starts == start && h.running() {
+			run()
+		}
+	})
+}
+
+// kill ends the program; it starts again after the time, unless that is
+// negative.
+func (h *host) kill(again time.Duration) {
+	h.balancer, h.gate = nil, nil
+	h.starts++
+	h.away = true
+	start := h.starts
+	if again < 0 {
+		return
+	}
+	h.w.after(again, func() {
+		if h.starts == start {
+			h.start(false)
+		}
+	})
+}
+
+// stop ends the program with notice.
+func (h *host) stop() {
+	start := h.starts
+	wait := 60 * time.Millisecond
+	switch {
+	case h.balancer != nil:
+		h.balancer.Leave(h.w.now)
+		wait = 1700 * time.Millisecond
+	case h.gate != nil:
+		h.gate.Leave(h.w.now)
+	default:
+		return
+	}
+	h.w.after(wait, func() {
+		if h.starts == start {
+			h.kill(restartDelay)
+		}
+	})
+}
+
+// outlet is the Outlet of one start of a program.
+type outlet struct {
+	h     *host
+	start int
+}
+
+// Node implements pollennode.Outlet.
+func (o *outlet) Node(to netip.AddrPort, datagram []byte) {
+	datagram = slices.Clone(datagram)
+	o.h.w.toNode(o.h, to, func(h *host) {
+		header, ok := pollenlink.ReadHeader(datagram)
+		switch {
+		case !ok:
+		case h.balancer != nil:
+			h.balancer.TakePacket(o.h.w.now, o.h.node, header, datagram)
+		case h.gate != nil:
+			h.gate.TakePacket(o.h.w.now, o.h.node, header, datagram)
+		}
+	})
+}
+
+// Message implements pollennode.Outlet.
+func (o *outlet) Message(to netip.AddrPort, kind pollenlink.Kind, message []byte) {
+	if to == operatorAddress {
+		o.h.w.operator.take(kind, message)
+		return
+	}
+	message = slices.Clone(message)
+	o.h.w.toNode(o.h, to, func(h *host) {
+		switch {
+		case h.balancer != nil:
+			h.balancer.TakeMessage(o.h.w.now, o.h.node, kind, message)
+		case h.gate != nil:
+			h.gate.TakeMessage(o.h.w.now, o.h.node, kind, message)
+		}
+	})
+}
+
+// Caller implements pollennode.Outlet.
+func (o *outlet) Caller(_ netip.AddrPort, packet []byte) { o.h.w.toCaller(packet) }
+
+// Server implements pollennode.Outlet.
+func (o *outlet) Server(packet []byte) {
+	packet = slices.Clone(packet)
+	s := o.h.server
+	o.h.w.after(localDelay, func() { s.take(packet) })
+}
--- a/pollenemulator/plan.go
+++ b/pollenemulator/plan.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"os"
 	"strconv"
 	"time"
@@ -73,7 +72,6 @@
 	Rate      int
 	Objective time.Duration
 	Timeout   time.Duration
-	address   netip.AddrPort
 }
 
 // An EventKind says what happens.
@@ -178,6 +176,15 @@
 	AtLeast bool
 }
 
+// Scale changes the number of callers and requests to so many percent.
+func (p *Plan) Scale(percent int) {
+	const whole = 100
+	for i := range p.Routes {
+		p.Routes[i].Flows = p.Routes[i].Flows * percent / whole
+		p.Routes[i].Rate = p.Routes[i].Rate * percent / whole
+	}
+}
+
 // Limits of a plan's values.
 const (
 	maxHosts    = 2000
--- /dev/null
+++ b/pollenemulator/world.go
@@ -0,0 +1,246 @@
+package pollenemulator
+
+import (
+	"container/heap"
+	"io"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"pollenstep.example/pollenstep/pollendocument"
+	"pollenstep.example/pollenstep/pollenlink"
+	"pollenstep.example/pollenstep/pollenpacket"
+	"pollenstep.example/pollenstep/pollenrecord"
+)
+
+// Delays of the emulated network, one way.
+const (
+	localDelay  = 50 * time.Microsecond
+	domainDelay = 200 * time.Microsecond
+	crossDelay  = time.Millisecond
+	callerDelay = 3 * time.Millisecond
+)
+
+// Times of a day.
+const (
+	// lead is how long the system runs before the callers come.
+	lead = 5 * time.Second
+	// restartDelay is the time between the end of a program and its next start.
+	restartDelay = 150 * time.Millisecond
+)
+
+// Ports of the emulated hosts.
+const (
+	nodePort   = 7000
+	callerPort = 7001
+)
+
+// epoch is when a day begins.
+var epoch = time.Unix(1_700_000_000, 0)
+
+// A world is one emulated day under way.
+type world struct {
+	plan   *Plan
+	random *rand.Rand
+	now    time.Time
+	queue  events
+	order  uint64
+
+	record *pollenrecord.Recorder
+	hosts  []*host
+	// nodes finds hosts by their address for nodes.
+	nodes   map[netip.AddrPort]*host
+	seeds   []netip.AddrPort
+	routers map[pollendocument.DomainName]*router
+	servers []*server
+	routes  []*route
+	// flows finds the callers' flows by their ends.
+	flows    map[pollenpacket.Flow]*flow
+	operator *operator
+	measure  *measure
+	// cut holds the domains that are apart from the others.
+	cut map[pollendocument.DomainName]bool
+}
+
+// event is one function that is due at a time; order keeps those of the same
+// time in the order in which they were added.
+type event struct {
+	at    time.Time
+	order uint64
+	run   func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if !e[i].at.Equal(e[j].at) {
+		return e[i].at.Before(e[j].at)
+	}
+	return e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push implements heap.Interface.
+func (e *events) Push(x any) {
+	if v, ok := x.(event); ok {
+		*e = append(*e, v)
+	}
+}
+
+// Pop implements heap.Interface.
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+func (w *world) after(d time.Duration, run func()) {
+	w.order++
+	heap.Push(&w.queue, event{at: w.now.Add(d), order: w.order, run: run})
+}
+
+func (w *world) runUntil(end time.Time) {
+	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
+		e, ok := heap.Pop(&w.queue).(event)
+		if !ok {
+			return
+		}
+		w.now = e.at
+		e.run()
+	}
+	w.now = end
+}
+
+// Run plays the plan and returns what came of it.
+func Run(p *Plan) *Result {
+	w := newWorld(p)
+	w.runUntil(epoch.Add(lead))
+	w.startCallers()
+	for _, e := range p.Events {
+		w.after(e.At, func() { w.happen(e) })
+	}
+	w.runUntil(epoch.Add(lead + p.Duration))
+	w.operator.readBack()
+	w.runUntil(w.now.Add(orderTimeout))
+	return w.result()
+}
+
+func newWorld(p *Plan) *world {
+	w := &world{
+		plan: p, random: rand.New(rand.NewPCG(p.Seed, 2)), now: epoch,
+		record: pollenrecord.New(io.Discard, logrus.PanicLevel, nil),
+		nodes:  map[netip.AddrPort]*host{}, routers: map[pollendocument.DomainName]*router{},
+		flows: map[pollenpacket.Flow]*flow{}, cut: map[pollendocument.DomainName]bool{},
+	}
+	w.measure = newMeasure(w)
+	w.operator = newOperator(w)
+	for z, d := range p.Domains {
+		w.seeds = append(w.seeds, netip.AddrPortFrom(hostAddress(z, 1), nodePort))
+		w.routers[d] = newRouter(w, z)
+	}
+	w.seeds = w.seeds[:min(len(w.seeds), 3)]
+	for range p.Balancers {
+		w.addBalancers(true)
+	}
+	n := 0
+	for i := range p.Services {
+		for range p.Services[i].Servers {
+			w.addServer(&p.Services[i], n%len(p.Domains))
+			n++
+		}
+	}
+	for i := range p.Routes {
+		w.routes = append(w.routes, newRoute(w, i))
+	}
+	w.after(lead/5, func() { w.operator.declare() })
+	return w
+}
+
+// hostAddress returns the address of the host of that number in the domain.
+func hostAddress(domain, number int) netip.Addr {
+	return netip.AddrFrom4([4]byte{10, byte(domain + 1), byte(number >> 8), byte(number)})
+}
+
+// addBalancers adds one balancer to each domain.
+func (w *world) addBalancers(first bool) {
+	for z, d := range w.plan.Domains {
+		r := w.routers[d]
+		number := len(r.balancers) + 1
+		h := newHost(w, z, number)
+		if number <= w.plan.Disks {
+			h.disk = newDisk(w.random.Uint64())
+		}
+		r.balancers = append(r.balancers, &probed{host: h})
+		h.start(first)
+	}
+}
+
+// delay returns how long a datagram between two domains takes; ok is false when
+// it is lost.
+func (w *world) delay(from, to pollendocument.DomainName) (d time.Duration, ok bool) {
+	if from != to && (w.cut[from] || w.cut[to]) {
+		return 0, false
+	}
+	if w.random.IntN(thousand) < w.plan.Loss {
+		return 0, false
+	}
+	if from == to {
+		return domainDelay, true
+	}
+	return crossDelay, true
+}
+
+// toNode carries a datagram or message from one host to another.
+func (w *world) toNode(from *host, to netip.AddrPort, take func(h *host)) {
+	h, known := w.nodes[to]
+	d, ok := w.delay(from.domain, w.domainOf(to))
+	if !known || !ok {
+		return
+	}
+	w.measure.messages++
+	w.after(d, func() { h.whenAwake(func() { take(h) }) })
+}
+
+func (w *world) domainOf(a netip.AddrPort) pollendocument.DomainName {
+	return w.plan.Domains[int(a.Addr().As4()[1])-1]
+}
+
+// toCaller carries a packet to the caller whose flow it is.
+func (w *world) toCaller(packet []byte) {
+	p, ok := pollenpacket.Plain{}.Server(packet)
+	if !ok || w.random.IntN(thousand) < w.plan.Loss {
+		return
+	}
+	if p.Reset {
+		w.measure.sawReset(p.Flow)
+	}
+	stream := slices.Clone(packet[pollenpacket.PlainHead:])
+	w.after(callerDelay, func() {
+		if f := w.flows[p.Flow]; f != nil {
+			f.take(&p, stream)
+		}
+	})
+}
+
+// fromCaller carries a caller's packet to the balancer that its router chooses.
+func (w *world) fromCaller(domain pollendocument.DomainName, p *pollenpacket.Packet, stream []byte) {
+	if w.random.IntN(thousand) < w.plan.Loss {
+		return
+	}
+	h := w.routers[domain].choose(p.Flow)
+	if h == nil {
+		return
+	}
+	datagram := pollenpacket.AppendPlain(make([]byte, pollenlink.HeaderSize, pollenlink.BufferSize), p, false, stream)
+	w.after(callerDelay, func() {
+		h.whenAwake(func() {
+			if h.balancer != nil {
+				h.balancer.TakeCaller(w.now, datagram)
+			}
+		})
+	})
+}
--- a/pollennode/balancer.go
+++ b/pollennode/balancer.go
@@ -25,6 +25,10 @@
 	// lingerTime is how long a balancer serves on after it has turned unready:
 	// until the fabric has missed two of its probes, which come twice a second.
 	lingerTime = 1700 * time.Millisecond
+	// quietTime is how long no new gate must have been heard before a balancer
+	// that has just started knows enough of them: two round trips between the
+	// farthest hosts and a little more.
+	quietTime = 50 * time.Millisecond
 	// aloneAfter is how long a balancer waits for a gate before it calls itself
 	// ready without one.
 	aloneAfter = 2 * time.Second
@@ -36,8 +40,10 @@
 	control *control
 
 	// The fields below are guarded by base.mu.
-	steer   *pollensteer.Balancer
-	leader  netip.AddrPort
+	steer  *pollensteer.Balancer
+	leader netip.AddrPort
+	// found is when the last new gate was heard.
+	found   time.Time
 	founder netip.AddrPort
 	call    uint64
 	calls   map[uint64]chan pollenlink.Answer
@@ -52,7 +58,7 @@
 		calls: map[uint64]chan pollenlink.Answer{},
 	}
 	if s.Data != "" {
-		b.control = newControl(b, parts.Files)
+		b.control = newControl(b, parts)
 	}
 	return b
 }
@@ -76,8 +82,11 @@
 func (b *Balancer) Ready(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return !b.table.Self().Leaving && b.view.View().Declared.Version > 0 &&
-		(b.steer.Gates() > 0 || now.Sub(b.began) >= aloneAfter)
+	if b.table.Self().Leaving || b.view.View().Declared.Version == 0 {
+		return false
+	}
+	settled := b.steer.Gates() > 0 && now.Sub(b.found) >= quietTime
+	return settled || now.Sub(b.began) >= aloneAfter
 }
 
 // Leader returns the address of the leading control host, or an invalid one.
@@ -247,10 +256,16 @@
 	}
 	if beat.Peer.Role == pollenpeer.RoleGate {
 		b.steer.SetGate(now, &beat.Peer)
+		if change == pollenpeer.ChangeNew {
+			b.found = now
+		}
 	}
 	if change == pollenpeer.ChangeNew || (beat.Peer.Role == pollenpeer.RoleGate && b.table.AnswerDue(now, beat.Peer.Address)) {
 		b.table.Answered(now, beat.Peer.Address)
 		own := b.ownBeat(now)
+		if change == pollenpeer.ChangeNew && beat.Peer.Role == pollenpeer.RoleBalancer {
+			own.Gates = b.table.FreshGates(now)
+		}
 		b.sendBeat(beat.Peer.Address, &own)
 	}
 	b.sendUpdate(now, &beat.Peer)
@@ -264,7 +279,18 @@
 	return beat
 }
 
-// Tick does what is due.
+// ControlInterval is the time between two calls of TickControl.
+const ControlInterval = controlTick
+
+// TickControl does what is due at this host's replica of the log, where Direct
+// is set.
+func (b *Balancer) TickControl(now time.Time) {
+	if b.control != nil && b.control.direct {
+		b.control.tick(now)
+	}
+}
+
+// Tick does what is due. It is to be called every Interval.
 func (b *Balancer) Tick(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/pollennode/base.go
+++ b/pollennode/base.go
@@ -53,6 +53,9 @@
 	Files   pollenstore.FileSystem
 	// Seed is drawn at each start; it makes choices repeatable.
 	Seed uint64
+	// Direct lets the replica of the log act within the calls of the program, in
+	// place of a goroutine; TickControl must then be called.
+	Direct bool
 }
 
 // SetSeeds replaces the seeds, after the settings have changed.
--- a/pollennode/control.go
+++ b/pollennode/control.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
 	"net/netip"
 	"time"
 
@@ -41,6 +39,8 @@
 type control struct {
 	b     *Balancer
 	files pollenstore.FileSystem
+	// seed names the replica when its folder is empty.
+	seed  uint64
 	inbox chan controlEvent
 	// direct makes post handle events itself, for a program that is driven by
 	// one goroutine.
@@ -66,9 +66,9 @@
 	reply func(pollencontrol.Answer)
 }
 
-func newControl(b *Balancer, files pollenstore.FileSystem) *control {
+func newControl(b *Balancer, parts Parts) *control {
 	return &control{
-		b: b, files: files, inbox: make(chan controlEvent, inboxSize),
+		b: b, files: parts.Files, seed: parts.Seed, direct: parts.Direct, inbox: make(chan controlEvent, inboxSize),
 		waiting: map[pollencontrol.Token]func(pollencontrol.Answer){},
 	}
 }
@@ -91,13 +91,6 @@
 	c.post(now, controlEvent{event: func(pollencontrol.Token) pollencontrol.Event { return e }})
 }
 
-func drawIdentity() pollenlog.ReplicaID {
-	var b [8]byte
-	// crypto/rand.Read never fails on the supported systems.
-	_, _ = rand.Read(b[:])
-	return pollenlog.ReplicaID(binary.BigEndian.Uint64(b[:]) | 1)
-}
-
 // serve runs the replica until the context ends.
 func (c *control) serve(ctx context.Context) error {
 	ticker := time.NewTicker(controlTick)
@@ -152,7 +145,9 @@
 
 // open opens the data folder and makes the replica that it holds.
 func (c *control) open(now time.Time) error {
-	folder, stored, err := pollenstore.Open(c.files, c.b.settings.Data, drawIdentity)
+	folder, stored, err := pollenstore.Open(c.files, c.b.settings.Data, func() pollenlog.ReplicaID {
+		return pollenlog.ReplicaID(c.seed | 1)
+	})
 	if err != nil {
 		return err
 	}
--- a/pollennode/gate.go
+++ b/pollennode/gate.go
@@ -209,7 +209,7 @@
 	}
 }
 
-// Tick does what is due.
+// Tick does what is due. It is to be called every Interval.
 func (g *Gate) Tick(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/pollennode/process.go
+++ b/pollennode/process.go
@@ -50,7 +50,7 @@
 	if b.control != nil {
 		p.Add("control", b.control.serve)
 	}
-	p.every("beats", tickInterval, b.Tick)
+	p.every("beats", Interval, b.Tick)
 	p.stops = append(p.stops, func() {
 		b.Leave(time.Now())
 		time.Sleep(lingerTime)
@@ -70,7 +70,7 @@
 	}
 	g = NewGate(now, s, parts)
 	p.serve(g, g.TakeServer)
-	p.every("beats", tickInterval, g.Tick)
+	p.every("beats", Interval, g.Tick)
 	p.stops = append(p.stops, func() {
 		g.Leave(time.Now())
 		time.Sleep(partTime)
--- a/pollennode/settings.go
+++ b/pollennode/settings.go
@@ -58,8 +58,8 @@
 
 // Timing that both programs share.
 const (
-	// tickInterval bounds how late a beat or a timeout is.
-	tickInterval = 100 * time.Millisecond
+	// Interval bounds how late a beat or a timeout is.
+	Interval = 100 * time.Millisecond
 	// catchUpInterval is the least time between two updates to the same peer,
 	// longer than a round trip between the farthest hosts.
 	catchUpInterval = 150 * time.Millisecond
--- a/pollenpeer/peer.go
+++ b/pollenpeer/peer.go
@@ -86,6 +86,9 @@
 	Founder netip.AddrPort
 	// Balancers are some of the balancers that the sender heard of lately.
 	Balancers []netip.AddrPort
+	// Gates are those that the sender heard of lately. Only the answer to a
+	// balancer that is new holds them.
+	Gates []netip.AddrPort
 }
 
 // A Known is a peer together with when it was heard.
--- a/pollenpeer/table.go
+++ b/pollenpeer/table.go
@@ -1,6 +1,7 @@
 package pollenpeer
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -82,6 +83,9 @@
 	for _, a := range b.Balancers {
 		t.try(now, a)
 	}
+	for _, a := range b.Gates {
+		t.try(now, a)
+	}
 	delete(t.tried, b.Peer.Address)
 	known, ok := t.peers[b.Peer.Address]
 	if !ok {
@@ -127,6 +131,7 @@
 			gone = append(gone, k.Peer)
 		}
 	}
+	slices.SortFunc(gone, func(a, b Peer) int { return a.Address.Compare(b.Address) })
 	for a, until := range t.tried {
 		if now.After(until) {
 			delete(t.tried, a)
@@ -146,7 +151,7 @@
 			t.balancers = append(t.balancers, a)
 		}
 	}
-	slices.SortFunc(t.balancers, func(a, b netip.AddrPort) int { return a.Compare(b) })
+	slices.SortFunc(t.balancers, netip.AddrPort.Compare)
 }
 
 // Due returns the addresses that are to get a beat now, and notes that they
@@ -167,7 +172,7 @@
 			take(a, t.seedInterval())
 		}
 	}
-	for a := range t.tried {
+	for _, a := range slices.SortedFunc(maps.Keys(t.tried), netip.AddrPort.Compare) {
 		take(a, Interval)
 	}
 	return due
@@ -203,6 +208,21 @@
 	return b
 }
 
+// maxGates bounds the gates that a new balancer is told of at once.
+const maxGates = 512
+
+// FreshGates returns the addresses of the gates that were heard lately, sorted.
+func (t *Table) FreshGates(now time.Time) []netip.AddrPort {
+	var gates []netip.AddrPort
+	for a, k := range t.peers {
+		if k.Peer.Role == RoleGate && now.Sub(k.Heard) < Fresh {
+			gates = append(gates, a)
+		}
+	}
+	slices.SortFunc(gates, netip.AddrPort.Compare)
+	return gates[:min(len(gates), maxGates)]
+}
+
 // Get returns the peer at the address.
 func (t *Table) Get(a netip.AddrPort) (Known, bool) {
 	k, ok := t.peers[a]
--- a/pollensteer/balancer.go
+++ b/pollensteer/balancer.go
@@ -4,6 +4,7 @@
 package pollensteer
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -294,8 +295,8 @@
 		h.wide = len(b.list) == 0
 	}
 	if h.wide {
-		for _, gates := range b.services {
-			b.listGates(gates, h.absent)
+		for _, name := range slices.Sorted(maps.Keys(b.services)) {
+			b.listGates(b.services[name], h.absent)
 		}
 	}
 	h.gate, h.used = nil, now
--- a/pollenwire/peer.go
+++ b/pollenwire/peer.go
@@ -11,6 +11,7 @@
 	address(c, &b.Leader)
 	address(c, &b.Founder)
 	list(c, &b.Balancers, address)
+	list(c, &b.Gates, address)
 }
 
 func mapPeer(c *Codec, p *pollenpeer.Peer) {
