--- a/pollenemulator/server.go
+++ b/pollenemulator/server.go
@@ -18,6 +18,9 @@
 	// drainTime is how long a draining server serves on after its report was
 	// acknowledged.
 	drainTime = 4 * time.Second
+	// youngTime is how long a server that has started resets flows it does not
+	// hold.
+	youngTime = 2 * time.Second
 	// requestSize is the size of a request or an answer in the stream: its
 	// identity and, in an answer, whether it ran.
 	requestSize = 9
@@ -137,7 +140,7 @@
 	}
 	h := s.flows[p.Flow]
 	if h == nil || int32(p.Acknowledged-h.first) <= 0 || int32(h.next-p.Acknowledged) < 0 {
-		s.giveBack(packet)
+		s.refuse(&p, packet)
 		return
 	}
 	h.opened = true
@@ -234,6 +237,16 @@
 	s.toGate(datagram)
 }
 
+// refuse answers a packet of a flow that the server does not hold. One that has
+// just started resets such a flow, others return the packet.
+func (s *server) refuse(p *pollenpacket.Packet, packet []byte) {
+	if s.w.now.Sub(s.born) < youngTime {
+		s.send(&pollenpacket.Packet{Flow: p.Flow, Answer: true, Reset: true, Sequence: p.Acknowledged}, nil)
+		return
+	}
+	s.giveBack(packet)
+}
+
 // giveBack returns a packet of a flow that the server does not hold.
 func (s *server) giveBack(packet []byte) {
 	p, _ := pollenpacket.Plain{}.Caller(packet)
--- a/pollengate/gate.go
+++ b/pollengate/gate.go
@@ -340,6 +340,12 @@
 	}
 	g.silence.heard(now)
 	f := g.flows[p.Flow]
+	if s, ok := g.searched[p.Flow]; ok && f == nil && p.Reset {
+		// The server answered a packet that was only searched for here; another
+		// one may hold the flow, and the reset would end it.
+		delete(g.searched, p.Flow)
+		return Decision{Verdict: VerdictAbsent, Reason: pollenkernel.RefusalUnknownFlow, Balancer: s.balancer}
+	}
 	if f == nil {
 		f = &flow{stage: stageIdle, since: now}
 		g.flows[p.Flow] = f
--- a/pollengate/gate_test.go
+++ b/pollengate/gate_test.go
@@ -243,6 +243,20 @@
 	want(t, pass(g, begun.Add(70*time.Second), 3, pollenlink.KindSearch, 77, 10), pollengate.VerdictAbsent, pollenkernel.RefusalUnknownFlow)
 }
 
+// TestServerResetsASearchedFlow has a server that does not hold a flow answer a
+// searched packet with a reset; the caller must not get it.
+func TestServerResetsASearchedFlow(t *testing.T) {
+	g := ready(0, 0)
+	want(t, pass(g, begun, 1, pollenlink.KindSearch, 77, 10), pollengate.VerdictDeliver, "")
+	d := g.FromServer(begun, &pollenpacket.Packet{Flow: flow(1), Reset: true, Answer: true, Sequence: 77})
+	if d.Verdict != pollengate.VerdictAbsent || d.Balancer != balancer {
+		t.Fatalf("reset of a flow that was only searched for: %+v", d)
+	}
+	open(g, begun, 2, 0, 0)
+	accept(g, begun, 2)
+	want(t, g.FromServer(begun, &pollenpacket.Packet{Flow: flow(2), Reset: true}), pollengate.VerdictCaller, "")
+}
+
 func TestFullServerReturnsTheOpening(t *testing.T) {
 	g := ready(0, 0)
 	open(g, begun, 1, 0, 0)
--- a/pollenlink/frame.go
+++ b/pollenlink/frame.go
@@ -25,7 +25,8 @@
 	KindSearch Kind = "search"
 	// KindDeclined carries a packet back to the balancer that passed it.
 	KindDeclined Kind = "declined"
-	// KindAbsent carries back a packet whose flow was searched for in vain.
+	// KindAbsent carries back a packet whose flow was searched for in vain, or
+	// only names the flow.
 	KindAbsent Kind = "absent"
 	// KindHeld tells a balancer that the sender holds a flow.
 	KindHeld Kind = "held"
@@ -146,6 +147,9 @@
 	return data
 }
 
+// OnlyFlow reports whether a datagram names a flow and carries no packet.
+func OnlyFlow(datagram []byte) bool { return len(datagram) == HeaderSize+flowSize }
+
 // ReadFlow reads the ends of a flow; ok is false when the bytes are too few.
 func ReadFlow(data []byte) (f pollenpacket.Flow, ok bool) {
 	if len(data) < flowSize {
--- a/pollennode/balancer.go
+++ b/pollennode/balancer.go
@@ -174,6 +174,14 @@
 			return
 		}
 	}
+	if f, ok := pollenlink.ReadFlow(datagram[pollenlink.HeaderSize:]); ok && h.Kind == pollenlink.KindAbsent && pollenlink.OnlyFlow(datagram) {
+		p := pollenpacket.Packet{Flow: f, Answer: true}
+		b.mu.Lock()
+		d := b.steer.AbsentFlow(now, from, &p)
+		b.mu.Unlock()
+		b.carryOut(now, &p, &d, h, datagram)
+		return
+	}
 	p, ok := b.settings.Format.Caller(datagram[pollenlink.HeaderSize:])
 	if !ok || (h.Kind != pollenlink.KindDeclined && h.Kind != pollenlink.KindAbsent) {
 		b.malformed(now, from, len(datagram), string(h.Kind))
--- a/pollennode/gate.go
+++ b/pollennode/gate.go
@@ -137,6 +137,11 @@
 		if d.Balancer.IsValid() {
 			balancer = d.Balancer
 		}
+		if d.Verdict == pollengate.VerdictAbsent && p.Reset {
+			// There is no caller's packet to send back.
+			g.sendFlow(balancer, h, p.Flow)
+			return
+		}
 		h.Put(datagram)
 		g.settings.Format.SetMark(packet, 0)
 		g.outlet.Node(balancer, datagram)
@@ -146,12 +151,17 @@
 	}
 	if d.Held {
 		h.Kind = pollenlink.KindHeld
-		held := make([]byte, pollenlink.HeaderSize, 2*pollenlink.HeaderSize)
-		h.Put(held)
-		g.outlet.Node(balancer, pollenlink.AppendFlow(held, p.Flow))
+		g.sendFlow(balancer, h, p.Flow)
 	}
 }
 
+// sendFlow tells a balancer of a flow without a packet of it.
+func (g *Gate) sendFlow(balancer netip.AddrPort, h pollenlink.Header, f pollenpacket.Flow) {
+	datagram := make([]byte, pollenlink.HeaderSize, 2*pollenlink.HeaderSize)
+	h.Put(datagram)
+	g.outlet.Node(balancer, pollenlink.AppendFlow(datagram, f))
+}
+
 func (g *Gate) logDecision(
 	now time.Time, balancer netip.AddrPort, p *pollenpacket.Packet, d *pollengate.Decision, h pollenlink.Header,
 ) {
--- a/pollensteer/balancer.go
+++ b/pollensteer/balancer.go
@@ -112,6 +112,8 @@
 	gate *gate
 	// used is when the flow's last packet came.
 	used time.Time
+	// acknowledged is what the caller's last packet did.
+	acknowledged uint32
 	// wide is set once every gate was asked, not only those of the route.
 	wide bool
 	// absent holds the gates that were searched and do not hold the flow.
@@ -229,6 +231,7 @@
 		return b.open(now, k, r, p, h, known)
 	}
 	if !known {
+		h.acknowledged = p.Acknowledged
 		return b.search(now, k, r, h)
 	}
 	h.used = now
@@ -345,6 +348,17 @@
 	return Decision{Verdict: VerdictReset, Reason: pollenkernel.RefusalUnknownFlow}
 }
 
+// AbsentFlow is Absent for a gate that does not send the packet back. It sets
+// what the caller acknowledged; a wider search waits for the caller's copy.
+func (b *Balancer) AbsentFlow(now time.Time, from netip.AddrPort, p *pollenpacket.Packet) Decision {
+	p.Acknowledged = b.hints[keyOf(p.Flow)].acknowledged
+	d := b.Absent(now, from, p)
+	if d.Verdict == VerdictSearch {
+		d.Verdict = VerdictDrop
+	}
+	return d
+}
+
 // everyGateAbsent reports whether every known gate is in the list, which may
 // also hold gates that are gone.
 func (b *Balancer) everyGateAbsent(absent []*gate) bool {
@@ -383,7 +397,7 @@
 			b.hints[k] = known
 			return Decision{Verdict: VerdictPass, Gate: known.gate.address}
 		}
-		return b.search(now, k, r, lost(known, decliner))
+		return b.search(now, k, r, lost(known, decliner, p))
 	}
 	if decliner != nil {
 		decliner.learn(h.Reason)
@@ -395,8 +409,8 @@
 }
 
 // lost returns the hint of a flow that its holder does not hold any more.
-func lost(h hint, decliner *gate) hint {
-	h.gate = nil
+func lost(h hint, decliner *gate, p *pollenpacket.Packet) hint {
+	h.gate, h.acknowledged = nil, p.Acknowledged
 	if decliner != nil && !slices.Contains(h.absent, decliner) {
 		h.absent = append(slices.Clip(h.absent), decliner)
 	}
--- a/pollensteer/balancer_test.go
+++ b/pollensteer/balancer_test.go
@@ -168,6 +168,18 @@
 	want(t, b.Absent(settled, address(4), packet(1)), pollensteer.VerdictReset, pollenkernel.RefusalUnknownFlow)
 }
 
+func TestAbsentFlowIsResetWhereTheCallerIs(t *testing.T) {
+	b := balancer()
+	b.Steer(settled, packet(1))
+	p := &pollenpacket.Packet{Flow: packet(1).Flow}
+	want(t, b.AbsentFlow(settled, address(1), p), pollensteer.VerdictDrop, pollenkernel.RefusalUnknownFlow)
+	want(t, b.AbsentFlow(settled, address(2), p), pollensteer.VerdictDrop, pollenkernel.RefusalUnknownFlow)
+	want(t, b.AbsentFlow(settled, address(3), p), pollensteer.VerdictReset, pollenkernel.RefusalUnknownFlow)
+	if p.Acknowledged != packet(1).Acknowledged {
+		t.Fatalf("reset at %d; the caller acknowledged %d", p.Acknowledged, packet(1).Acknowledged)
+	}
+}
+
 func TestDeclinedOpeningComesToRest(t *testing.T) {
 	b := balancer()
 	d := b.Steer(settled, opening(1, 0))
