--- a/pollenlink/link.go
+++ b/pollenlink/link.go
@@ -93,3 +93,12 @@
 	l.id++
 	split(kind, l.id, message, l.buffer, func(datagram []byte) { l.SendPacket(to, datagram) })
 }
+
+// Address returns the address that the link is bound to.
+func (l *Link) Address() netip.AddrPort {
+	if udp, ok := l.conn.LocalAddr().(*net.UDPAddr); ok {
+		a := udp.AddrPort()
+		return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+	}
+	return netip.AddrPort{}
+}
--- /dev/null
+++ b/pollenlink/link_test.go
@@ -0,0 +1,91 @@
+package pollenlink_test
+
+import (
+	"bytes"
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"pollenstep.example/pollenstep/pollenkernel"
+	"pollenstep.example/pollenstep/pollenlink"
+	"pollenstep.example/pollenstep/pollenpacket"
+)
+
+func TestHeader(t *testing.T) {
+	h := pollenlink.Header{
+		Kind: pollenlink.KindDeclined, Hops: 3, Reason: pollenkernel.RefusalDraining, Service: 77, Revision: 1 << 40,
+	}
+	buffer := make([]byte, pollenlink.HeaderSize)
+	h.Put(buffer)
+	if got, ok := pollenlink.ReadHeader(buffer); !ok || got != h {
+		t.Fatalf("read %+v, %t; want %+v", got, ok, h)
+	}
+	f := pollenpacket.Flow{
+		Caller: netip.MustParseAddrPort("100.64.0.7:40001"), Service: netip.MustParseAddrPort("198.18.0.1:443"),
+	}
+	if got, ok := pollenlink.ReadFlow(pollenlink.AppendFlow(nil, f)); !ok || got != f {
+		t.Fatalf("read %+v, %t; want %+v", got, ok, f)
+	}
+}
+
+func FuzzHeader(f *testing.F) {
+	f.Add([]byte{1, 2, 3, 0, 0, 0, 0, 1, 0, 0, 0, 0, 0, 0, 0, 9})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		h, ok := pollenlink.ReadHeader(data)
+		if !ok {
+			return
+		}
+		again := make([]byte, pollenlink.HeaderSize)
+		h.Put(again)
+		if got, _ := pollenlink.ReadHeader(again); got != h {
+			t.Fatalf("%+v became %+v", h, got)
+		}
+	})
+}
+
+// inbox keeps what arrives.
+type inbox struct {
+	messages chan []byte
+	garbage  chan int
+}
+
+func (i *inbox) TakePacket(time.Time, netip.AddrPort, pollenlink.Header, []byte) {}
+
+func (i *inbox) TakeMessage(_ time.Time, _ netip.AddrPort, _ pollenlink.Kind, message []byte) {
+	i.messages <- bytes.Clone(message)
+}
+
+func (i *inbox) TakeGarbage(_ time.Time, _ netip.AddrPort, size int) { i.garbage <- size }
+
+// TestMessages sends messages of all sizes over loopback, and garbage between
+// them.
+func TestMessages(t *testing.T) {
+	from, err := pollenlink.Open(netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	to, err := pollenlink.Open(netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	in := &inbox{messages: make(chan []byte, 1), garbage: make(chan int, 1)}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- to.Serve(ctx, in) }()
+	for _, size := range []int{0, 1, 1199, 1200, 1201, 5000, 60_000} {
+		message := bytes.Repeat([]byte{byte(size)}, size)
+		from.SendMessage(to.Address(), pollenlink.KindBeat, message)
+		if got := <-in.messages; !bytes.Equal(got, message) {
+			t.Fatalf("message of %d bytes arrived with %d", size, len(got))
+		}
+		from.SendPacket(to.Address(), []byte{200, 1})
+		if got := <-in.garbage; got != 2 {
+			t.Fatalf("garbage of %d bytes", got)
+		}
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+}
--- a/pollenlog/node_test.go
+++ b/pollenlog/node_test.go
@@ -267,3 +267,28 @@
 		}
 	})
 }
+
+// A replica that restarts without a leader still applies what it knew to be
+// committed when it last wrote.
+func TestRestartKnowsCommitted(t *testing.T) {
+	scenario(t, 3, func(c *cluster) {
+		for _, data := range []string{"first", "second"} {
+			c.propose(c.leader(), data)
+			c.run(election)
+		}
+		r := c.leader()
+		for _, other := range c.replicas {
+			other.down = other != r
+		}
+		c.boot(r)
+		c.step(r, pollenlog.Tick{})
+		found := false
+		for _, e := range r.applied {
+			found = found || string(e.Data) == "first"
+		}
+		if !found {
+			c.t.Fatalf("after a restart, %d entries are applied, without the committed one", len(r.applied))
+		}
+		c.heal()
+	})
+}
--- /dev/null
+++ b/pollenpeer/table_test.go
@@ -0,0 +1,95 @@
+package pollenpeer_test
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"pollenstep.example/pollenstep/pollenpeer"
+)
+
+var begun = time.Unix(1000, 0)
+
+func address(n int) netip.AddrPort { return netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:7000", n)) }
+
+func beat(n int, sequence uint64, others ...netip.AddrPort) *pollenpeer.Beat {
+	return &pollenpeer.Beat{
+		Peer:      pollenpeer.Peer{Address: address(n), Role: pollenpeer.RoleBalancer, Incarnation: 1, Sequence: sequence},
+		Balancers: others,
+	}
+}
+
+func table(seeds ...netip.AddrPort) *pollenpeer.Table {
+	return pollenpeer.NewTable(pollenpeer.Peer{Address: address(1), Role: pollenpeer.RoleBalancer}, seeds)
+}
+
+func TestPeersAreFoundFromASeed(t *testing.T) {
+	tb := table(address(1), address(2))
+	if due := tb.Due(begun); !slices.Equal(due, []netip.AddrPort{address(2)}) {
+		t.Fatalf("due at the start: %v; want the other seed", due)
+	}
+	// The seed tells of another balancer, which is then asked itself.
+	if change := tb.Hear(begun, beat(2, 1, address(3))); change != pollenpeer.ChangeNew {
+		t.Fatalf("change %s", change)
+	}
+	later := begun.Add(pollenpeer.Interval)
+	if due := tb.Due(later); !slices.Equal(due, []netip.AddrPort{address(2), address(3)}) {
+		t.Fatalf("due: %v", due)
+	}
+	// One that never answers is not asked for ever.
+	if tb.Expire(begun.Add(4 * time.Second)); slices.Contains(tb.Due(begun.Add(5*time.Second)), address(3)) {
+		t.Fatal("an address that never answered is still asked")
+	}
+}
+
+func TestStaleBeatsAreIgnored(t *testing.T) {
+	tb := table()
+	tb.Hear(begun, beat(2, 5))
+	old := beat(2, 4)
+	old.Peer.Leaving = true
+	if change := tb.Hear(begun, old); change != pollenpeer.ChangeNone {
+		t.Fatalf("change %s by a beat that was overtaken", change)
+	}
+	again := beat(2, 1)
+	again.Peer.Incarnation = 2
+	if change := tb.Hear(begun, again); change != pollenpeer.ChangeNew {
+		t.Fatalf("change %s by a new incarnation", change)
+	}
+}
+
+func TestSilentPeersAreForgotten(t *testing.T) {
+	tb := table(address(2))
+	tb.Hear(begun, beat(2, 1))
+	tb.Hear(begun, beat(3, 1))
+	late := begun.Add(pollenpeer.Forget)
+	if gone := tb.Expire(late); len(gone) != 2 || len(tb.Balancers()) != 0 {
+		t.Fatalf("gone: %v, left: %v", gone, tb.Balancers())
+	}
+	// Without anybody left, the seeds are asked again.
+	if due := tb.Due(late); !slices.Equal(due, []netip.AddrPort{address(2)}) {
+		t.Fatalf("due: %v", due)
+	}
+}
+
+// TestNearestCoversEveryAddress checks that some balancer passes news on to each
+// gate, whatever balancers there are.
+func TestNearestCoversEveryAddress(t *testing.T) {
+	const balancers = 5
+	for g := 100; g < 140; g++ {
+		nearest := 0
+		for self := 1; self <= balancers; self++ {
+			tb := pollenpeer.NewTable(pollenpeer.Peer{Address: address(self), Role: pollenpeer.RoleBalancer}, nil)
+			for n := 1; n <= balancers; n++ {
+				tb.Hear(begun, beat(n, 1))
+			}
+			if tb.Nearest(address(g)) {
+				nearest++
+			}
+		}
+		if nearest != 1 {
+			t.Errorf("%d balancers are nearest to %s", nearest, address(g))
+		}
+	}
+}
--- a/pollenstore/folder_test.go
+++ b/pollenstore/folder_test.go
@@ -226,3 +226,34 @@
 		}
 	}
 }
+
+// TestKilledBeforeSync kills a process between a write and its sync, starts it
+// again, and then takes the power away: what the restart found must last.
+func TestKilledBeforeSync(t *testing.T) {
+	for seed := range uint64(20) {
+		files := newMemory(seed)
+		f, _, err := pollenstore.Open(files, folder, draw)
+		if err != nil {
+			t.Fatal(err)
+		}
+		// The write succeeds and the sync does not.
+		files.operations = 1
+		entry := pollenlog.Entry{Index: 1, Term: 1, Kind: pollenlog.EntryCommand, Data: []byte("vote")}
+		if err := f.Persist(pollenlog.Persist{Entries: []pollenlog.Entry{entry}}); err == nil {
+			t.Fatal("the failed sync was not noticed")
+		}
+		files.operations = -1
+		_, found, err := pollenstore.Open(files, folder, draw)
+		if err != nil {
+			t.Fatal(err)
+		}
+		files.crash()
+		_, after, err := pollenstore.Open(files, folder, draw)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(found.Entries) != len(after.Entries) {
+			t.Fatalf("seed %d: a restart found %d entries, and after a power loss there are %d", seed, len(found.Entries), len(after.Entries))
+		}
+	}
+}
