Pass no reset of a server for a flow that its gate does not know

Change: a gate that has not seen the flow asks its server; what that refuses is reported as absent, and the balancer searches the others.

--- a/pollengate/gate.go
+++ b/pollengate/gate.go
@@ -109,12 +109,13 @@
 	work    duration
 	silence silence
 	swept   time.Time
-	// searched holds the flows that were searched for and that only the backend
-	// server can tell of, with the balancer that asked.
-	searched map[pollenpacket.Flow]search
+	// asked holds the flows that only the backend server can tell of, since a
+	// packet of them was delivered that this gate did not know.
+	asked map[pollenpacket.Flow]question
 }
 
-type search struct {
+type question struct {
+	// balancer is where the packet came from.
 	balancer netip.AddrPort
 	at       time.Time
 }
@@ -152,8 +153,8 @@
 	return &Gate{
 		config: config, hash: pollensteer.ServiceHash(config.Service), begun: now,
 		routes: map[netip.AddrPort]*pollendocument.Route{}, flows: map[pollenpacket.Flow]*flow{},
-		searched: map[pollenpacket.Flow]search{},
-		load:     average{at: now}, work: duration{value: defaultWork},
+		asked: map[pollenpacket.Flow]question{},
+		load:  average{at: now}, work: duration{value: defaultWork},
 	}
 }
 
@@ -252,20 +253,15 @@
 		// A copy of the opening packet went to another backend server, and the
 		// caller took that one's answer.
 		g.forget(now, p.Flow)
-		if h.Kind == pollenlink.KindSearch {
-			return Decision{Verdict: VerdictAbsent, Reason: pollenkernel.RefusalUnknownFlow}
-		}
-		return Decision{Verdict: VerdictDecline, Reason: pollenkernel.RefusalUnknownFlow}
+		return Decision{Verdict: VerdictAbsent, Reason: pollenkernel.RefusalUnknownFlow}
 	}
-	if h.Kind == pollenlink.KindSearch && f == nil {
+	d := Decision{Verdict: VerdictDeliver, Reason: pollenkernel.RefusalNone}
+	if f == nil {
 		if !g.mayHoldUnknown(now) {
 			return Decision{Verdict: VerdictAbsent, Reason: pollenkernel.RefusalUnknownFlow}
 		}
-		g.searched[p.Flow] = search{balancer: from, at: now}
-	}
-	d := Decision{Verdict: VerdictDeliver, Reason: pollenkernel.RefusalNone}
-	if f == nil {
-		// The backend server sends it back if it does not hold the flow.
+		// The backend server returns it or resets the flow if it does not hold it.
+		g.asked[p.Flow] = question{balancer: from, at: now}
 		return d
 	}
 	g.follow(now, f, p)
@@ -340,16 +336,16 @@
 	}
 	g.silence.heard(now)
 	f := g.flows[p.Flow]
-	if s, ok := g.searched[p.Flow]; ok && f == nil && p.Reset {
-		// The server answered a packet that was only searched for here; another
-		// one may hold the flow, and the reset would end it.
-		delete(g.searched, p.Flow)
-		return Decision{Verdict: VerdictAbsent, Reason: pollenkernel.RefusalUnknownFlow, Balancer: s.balancer}
+	if f == nil && p.Reset {
+		// The server does not hold the flow; another one may, and the reset would
+		// end it.
+		return g.absent(p)
 	}
 	if f == nil {
 		f = &flow{stage: stageIdle, since: now}
 		g.flows[p.Flow] = f
 	}
+	delete(g.asked, p.Flow)
 	f.used = now
 	f.followServer(p)
 	if p.Size > 0 && f.stage == stageRunning {
@@ -383,17 +379,24 @@
 func (g *Gate) returned(now time.Time, p *pollenpacket.Packet) Decision {
 	g.silence.heard(now)
 	g.forget(now, p.Flow)
-	if s, ok := g.searched[p.Flow]; ok {
-		delete(g.searched, p.Flow)
-		return Decision{Verdict: VerdictAbsent, Reason: pollenkernel.RefusalUnknownFlow, Balancer: s.balancer}
+	if p.Opening() {
+		return Decision{Verdict: VerdictDecline, Reason: pollenkernel.RefusalConnectionLimit}
 	}
-	switch {
-	case p.Mark == 0:
+	if _, asked := g.asked[p.Flow]; !asked && p.Mark != 0 {
+		return Decision{Verdict: VerdictAbsent, Reason: pollenkernel.RefusalUnknownFlow}
+	}
+	return g.absent(p)
+}
+
+// absent tells the balancer that asked that the backend server does not hold
+// the flow.
+func (g *Gate) absent(p *pollenpacket.Packet) Decision {
+	q, asked := g.asked[p.Flow]
+	delete(g.asked, p.Flow)
+	if !asked {
 		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalUnknownFlow}
-	case p.Opening():
-		return Decision{Verdict: VerdictDecline, Reason: pollenkernel.RefusalConnectionLimit}
 	}
-	return Decision{Verdict: VerdictDecline, Reason: pollenkernel.RefusalUnknownFlow}
+	return Decision{Verdict: VerdictAbsent, Reason: pollenkernel.RefusalUnknownFlow, Balancer: q.balancer}
 }
 
 // Times after which a flow is given up in the gate's own books; the backend
@@ -406,8 +409,8 @@
 	// idleTimeout is past any idle time that documents set.
 	idleTimeout   = 65 * time.Second
 	sweepInterval = time.Second
-	// searchTimeout bounds the wait for a packet that the server returns.
-	searchTimeout = time.Second
+	// askTimeout bounds the wait for what the server says of a flow.
+	askTimeout = time.Second
 )
 
 // Sweep gives up flows that came to nothing.
@@ -416,9 +419,9 @@
 		return
 	}
 	g.swept = now
-	for key, s := range g.searched {
-		if now.Sub(s.at) >= searchTimeout {
-			delete(g.searched, key)
+	for key, q := range g.asked {
+		if now.Sub(q.at) >= askTimeout {
+			delete(g.asked, key)
 		}
 	}
 	for key, f := range g.flows {
--- a/pollensteer/balancer.go
+++ b/pollensteer/balancer.go
@@ -328,15 +328,24 @@
 // lives: gates send beats to every balancer, and some may be lost.
 const surelyKnown = 5 * pollenpeer.Interval
 
-// Absent records that a gate was searched in vain. When every known gate was,
-// the flow is gone, and its caller is told at once instead of waiting for its
-// deadline. A gate that does not answer may still hold it.
+// Absent records that a gate does not hold the flow of a packet. If it was taken
+// for the holder, the others are searched. When every known gate was searched in
+// vain, the flow is gone, and its caller is told at once instead of waiting for
+// its deadline. A gate that does not answer may still hold it.
 func (b *Balancer) Absent(now time.Time, from netip.AddrPort, p *pollenpacket.Packet) Decision {
 	k := keyOf(p.Flow)
 	h, searching := b.hints[k]
 	r, routed := b.routes[p.Flow.Service]
 	g := b.gates[from]
-	if !searching || !routed || g == nil || (h.gate != nil && !h.gate.gone) || slices.Contains(h.absent, g) {
+	if !searching || !routed || g == nil || slices.Contains(h.absent, g) {
+		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalUnknownFlow}
+	}
+	if h.gate == g {
+		h = hint{absent: []*gate{g}, acknowledged: p.Acknowledged, used: now}
+		b.hints[k] = h
+		return b.search(now, k, r, h)
+	}
+	if h.gate != nil && !h.gate.gone {
 		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalUnknownFlow}
 	}
 	h.absent = append(slices.Clip(h.absent), g)
@@ -360,7 +369,7 @@
 	p.Acknowledged = b.hints[keyOf(p.Flow)].acknowledged
 	d := b.Absent(now, from, p)
 	if d.Verdict == VerdictSearch {
-		d.Verdict = VerdictDrop
+		return Decision{Verdict: VerdictDrop, Reason: d.Reason}
 	}
 	return d
 }
@@ -403,7 +412,7 @@
 			b.hints[k] = known
 			return Decision{Verdict: VerdictPass, Gate: known.gate.address}
 		}
-		return b.search(now, k, r, lost(known, decliner, p))
+		return b.Absent(now, from, p)
 	}
 	if decliner != nil {
 		decliner.learn(h.Reason)
@@ -418,15 +427,6 @@
 	return b.place(now, k, r, p, decliner)
 }
 
-// lost returns the hint of a flow that its holder does not hold any more.
-func lost(h hint, decliner *gate, p *pollenpacket.Packet) hint {
-	h.gate, h.acknowledged = nil, p.Acknowledged
-	if decliner != nil && !slices.Contains(h.absent, decliner) {
-		h.absent = append(slices.Clip(h.absent), decliner)
-	}
-	return h
-}
-
 // learn corrects what is believed of a gate by its reason for declining, until
 // its next beat.
 func (g *gate) learn(why pollenkernel.Refusal) {
