--- a/pollengate/gate.go
+++ b/pollengate/gate.go
@@ -282,9 +282,19 @@
 // it has not seen: longer than any flow may be silent.
 const unknownFor = 65 * time.Second
 
+// firstReports is the number of report intervals after which a gate that has
+// heard of no backend server stands beside none.
+const firstReports = 2
+
 // mayHoldUnknown reports whether the backend server may hold flows that were
 // opened before this process started.
-func (g *Gate) mayHoldUnknown(now time.Time) bool { return now.Sub(g.begun) < unknownFor }
+func (g *Gate) mayHoldUnknown(now time.Time) bool {
+	age := now.Sub(g.begun)
+	if g.reported.IsZero() && age >= firstReports*g.config.Bounds.ReportInterval {
+		return false
+	}
+	return age < unknownFor
+}
 
 // follow notes a caller's packet of a flow that is held here.
 func (g *Gate) follow(now time.Time, f *flow, p *pollenpacket.Packet) {
--- a/pollengate/gate_test.go
+++ b/pollengate/gate_test.go
@@ -261,6 +261,15 @@
 	want(t, g.FromServer(begun, &pollenpacket.Packet{Flow: flow(2), Reset: true}), pollengate.VerdictCaller, "")
 }
 
+// TestGateWithoutServer stands beside a server that did not come back after a
+// power loss: it must not keep searches open for ever.
+func TestGateWithoutServer(t *testing.T) {
+	g := pollengate.New(begun, pollengate.Config{Domain: "a", Service: "rings", Bounds: pollengate.Bounds{ReportInterval: time.Second}})
+	g.SetView(view(1, 0))
+	want(t, pass(g, begun.Add(time.Second), 1, pollenlink.KindSearch, 77, 10), pollengate.VerdictDeliver, "")
+	want(t, pass(g, begun.Add(2*time.Second), 1, pollenlink.KindSearch, 77, 10), pollengate.VerdictAbsent, pollenkernel.RefusalUnknownFlow)
+}
+
 func TestFullServerReturnsTheOpening(t *testing.T) {
 	g := ready(0, 0)
 	open(g, begun, 1, 0, 0)
