--- a/pollensteer/balancer.go
+++ b/pollensteer/balancer.go
@@ -350,13 +350,13 @@
 	}
 	h.absent = append(slices.Clip(h.absent), g)
 	b.hints[k] = h
-	if !h.wide && b.allAbsent(r, h.absent) {
+	if !h.wide && b.allAbsent(now, r, h.absent) {
 		h.wide = true
 		if d := b.search(now, k, r, h); d.Verdict == VerdictSearch {
 			return d
 		}
 	}
-	if !b.everyGateAbsent(h.absent) || now.Sub(b.config.Begun) < surelyKnown {
+	if !b.everyGateAbsent(now, h.absent) || now.Sub(b.config.Begun) < surelyKnown {
 		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalUnknownFlow}
 	}
 	delete(b.hints, k)
@@ -374,22 +374,29 @@
 	return d
 }
 
-// everyGateAbsent reports whether every known gate is in the list, which may
-// also hold gates that are gone.
-func (b *Balancer) everyGateAbsent(absent []*gate) bool {
+// everyGateAbsent reports whether every gate that may hold a flow is in the
+// list, which may also hold gates that are gone.
+func (b *Balancer) everyGateAbsent(now time.Time, absent []*gate) bool {
 	for _, g := range b.gates {
-		if !slices.Contains(absent, g) {
+		if !slices.Contains(absent, g) && g.mayHold(now) {
 			return false
 		}
 	}
 	return true
 }
 
-// allAbsent reports whether every gate of the route's services is in the list.
-func (b *Balancer) allAbsent(r *route, absent []*gate) bool {
+// mayHold returns false for a gate that fell silent before any server had
+// reported to it: its host came back without a server and was then taken away.
+func (g *gate) mayHold(now time.Time) bool {
+	return g.server.State != pollenpeer.ServerUnknown || now.Sub(g.heard) < pollenpeer.Fresh
+}
+
+// allAbsent reports whether every gate of the route's services that may hold a
+// flow is in the list.
+func (b *Balancer) allAbsent(now time.Time, r *route, absent []*gate) bool {
 	for _, s := range r.Shares {
 		for _, g := range b.services[s.Service] {
-			if !slices.Contains(absent, g) {
+			if !slices.Contains(absent, g) && g.mayHold(now) {
 				return false
 			}
 		}
--- a/pollensteer/balancer_test.go
+++ b/pollensteer/balancer_test.go
@@ -168,6 +168,27 @@
 	want(t, b.Absent(settled, address(4), packet(1)), pollensteer.VerdictReset, pollenkernel.RefusalUnknownFlow)
 }
 
+// TestSearchIsNotHeldUpByAnEmptyHost has a host come back after a power loss
+// without its server, and then vanish.
+func TestSearchIsNotHeldUpByAnEmptyHost(t *testing.T) {
+	b := balancer()
+	empty := gate(4, "rings")
+	empty.Server.State = pollenpeer.ServerUnknown
+	b.SetGate(settled, empty)
+	later := settled.Add(pollenpeer.Fresh)
+	for n := 1; n <= 3; n++ {
+		service := pollendocument.ServiceName("rings")
+		if n == 3 {
+			service = "sheets"
+		}
+		b.SetGate(later, gate(n, service))
+	}
+	b.Steer(later, packet(1))
+	want(t, b.Absent(later, address(1), packet(1)), pollensteer.VerdictDrop, pollenkernel.RefusalUnknownFlow)
+	want(t, b.Absent(later, address(2), packet(1)), pollensteer.VerdictSearch, pollenkernel.RefusalUnknownFlow)
+	want(t, b.Absent(later, address(3), packet(1)), pollensteer.VerdictReset, pollenkernel.RefusalUnknownFlow)
+}
+
 func TestAbsentFlowIsResetWhereTheCallerIs(t *testing.T) {
 	b := balancer()
 	b.Steer(settled, packet(1))
