Turn unready where no peer is heard any more

Change: a balancer that hears less than a fifth of its peers for 0.7 s answers probes with 503 until it hears them again.

--- a/pollennode/balancer.go
+++ b/pollennode/balancer.go
@@ -42,6 +42,8 @@
 	// The fields below are guarded by base.mu.
 	steer  *pollensteer.Balancer
 	leader netip.AddrPort
+	// isolated is set while nearly all peers are silent.
+	isolated bool
 	// found is when the last new gate was heard.
 	found   time.Time
 	founder netip.AddrPort
@@ -85,6 +87,14 @@
 	if b.table.Self().Leaving || b.view.View().Declared.Version == 0 {
 		return false
 	}
+	isolated := b.table.Isolated(now)
+	if isolated != b.isolated {
+		b.isolated = isolated
+		b.record.Change("isolation changed", pollenrecord.Fields{"isolated": isolated, "peers": len(b.table.All())})
+	}
+	if isolated {
+		return false
+	}
 	settled := b.steer.Gates() > 0 && now.Sub(b.found) >= quietTime
 	return settled || now.Sub(b.began) >= aloneAfter
 }
--- a/pollenpeer/table.go
+++ b/pollenpeer/table.go
@@ -262,3 +262,32 @@
 	text := balancer.AppendTo(make([]byte, 0, 64))
 	return xxhash.Sum64(to.AppendTo(text))
 }
+
+// Bounds of isolation.
+const (
+	// isolatedAfter is nearly two intervals: of many peers, some beat is always
+	// younger.
+	isolatedAfter = 700 * time.Millisecond
+	// isolatedShare is the part of the known peers, one in so many, that must be
+	// heard: a process in the smallest of three failure domains that are cut
+	// apart still hears more.
+	isolatedShare = 5
+	// isolatedLeast is the number of peers below which nothing is concluded.
+	isolatedLeast = 4
+)
+
+// Isolated reports whether so few peers are heard that this process itself must
+// be cut off, so that its work is better done by others. It answers hosts that
+// callers reach and other hosts do not.
+func (t *Table) Isolated(now time.Time) bool {
+	if len(t.peers) < isolatedLeast {
+		return false
+	}
+	heard := 0
+	for _, k := range t.peers {
+		if now.Sub(k.Heard) < isolatedAfter {
+			heard++
+		}
+	}
+	return heard*isolatedShare < len(t.peers)
+}
--- a/pollenpeer/table_test.go
+++ b/pollenpeer/table_test.go
@@ -73,6 +73,23 @@
 	}
 }
 
+func TestIsolation(t *testing.T) {
+	tb := table()
+	for n := 2; n < 12; n++ {
+		tb.Hear(begun, beat(n, 1))
+	}
+	later := begun.Add(time.Second)
+	if tb.Isolated(begun) || !tb.Isolated(later) {
+		t.Fatal("a process that hears nobody any more does not know that it is cut off")
+	}
+	for n := 2; n < 5; n++ {
+		tb.Hear(later, beat(n, 2))
+	}
+	if tb.Isolated(later) {
+		t.Fatal("a process that hears a third of its peers takes itself for cut off")
+	}
+}
+
 // TestNearestCoversEveryAddress checks that some balancer passes news on to each
 // gate, whatever balancers there are.
 func TestNearestCoversEveryAddress(t *testing.T) {
