--- a/pollencommand/emulate.go
+++ b/pollencommand/emulate.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"text/tabwriter"
 
@@ -11,12 +12,14 @@
 	"github.com/urfave/cli/v3"
 
 	"pollenstep.example/pollenstep/pollenemulator"
+	"pollenstep.example/pollenstep/pollensteer"
 )
 
 // emulationView is the JSON form of an emulated day.
 type emulationView struct {
 	Plan    string             `json:"plan"`
 	Seed    uint64             `json:"seed"`
+	Policy  string             `json:"policy,omitempty"`
 	Figures map[string]float64 `json:"figures"`
 	Failed  []string           `json:"failed,omitempty"`
 	Notes   []string           `json:"notes,omitempty"`
@@ -31,6 +34,8 @@
 			outputFlag(),
 			&cli.Uint64Flag{Name: "seed", Usage: "`SEED` in place of the plan's"},
 			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "play each plan `N` times, with one seed after the other"},
+			&cli.StringFlag{Name: "policy", Usage: fmt.Sprintf("`POLICY` that chooses gates, one of %v", pollensteer.Policies())},
+			&cli.BoolFlag{Name: "compare", Usage: "play each plan with every policy"},
 			&cli.IntFlag{Name: "load", Value: 100, Usage: "callers in `PERCENT` of the plan's"},
 		},
 		Action: emulate,
@@ -41,6 +46,13 @@
 	if c.Args().Len() == 0 {
 		return inputError(errors.New("one plan file or more are needed"))
 	}
+	chosen := []pollensteer.PolicyName{pollensteer.PolicyName(c.String("policy"))}
+	if c.Bool("compare") {
+		chosen = pollensteer.Policies()
+	}
+	if p := chosen[0]; p != "" && !slices.Contains(pollensteer.Policies(), p) {
+		return inputError(errors.Errorf("policy %q is not one of %v", p, pollensteer.Policies()))
+	}
 	if c.Int("load") <= 0 || c.Int("seeds") <= 0 {
 		return inputError(errors.New("load and seeds must be positive"))
 	}
@@ -55,15 +67,18 @@
 			plan.Seed = c.Uint64("seed")
 		}
 		plan.Scale(c.Int("load"))
-		for range c.Int("seeds") {
+		for i := range c.Int("seeds") * len(chosen) {
+			plan.Policy = chosen[i%len(chosen)]
 			r := pollenemulator.Run(plan)
 			failed = failed || len(r.Failed) > 0
-			v := emulationView{Plan: r.Plan, Seed: plan.Seed, Failed: r.Failed, Notes: r.Notes, Figures: map[string]float64{}}
+			v := emulationView{Plan: r.Plan, Seed: plan.Seed, Policy: string(plan.Policy), Failed: r.Failed, Notes: r.Notes, Figures: map[string]float64{}}
 			for m, f := range r.Figures {
 				v.Figures[string(m)] = f
 			}
 			views = append(views, v)
-			plan.Seed++
+			if (i+1)%len(chosen) == 0 {
+				plan.Seed++
+			}
 		}
 	}
 	if err := output(c, views, func(w io.Writer) { writeEmulations(w, views) }); err != nil {
@@ -77,13 +92,13 @@
 
 func writeEmulations(w io.Writer, views []emulationView) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprint(t, "plan\tseed")
+	_, _ = fmt.Fprint(t, "plan\tseed\tpolicy")
 	for _, m := range pollenemulator.Measures() {
 		_, _ = fmt.Fprintf(t, "\t%s", m)
 	}
 	_, _ = fmt.Fprintln(t)
 	for _, v := range views {
-		_, _ = fmt.Fprintf(t, "%s\t%d", v.Plan, v.Seed)
+		_, _ = fmt.Fprintf(t, "%s\t%d\t%s", v.Plan, v.Seed, v.Policy)
 		for _, m := range pollenemulator.Measures() {
 			_, _ = fmt.Fprintf(t, "\t%s", strconv.FormatFloat(v.Figures[string(m)], 'g', 4, 64))
 		}
--- a/pollenemulator/host.go
+++ b/pollenemulator/host.go
@@ -62,7 +62,7 @@
 		panic(err)
 	}
 	parts := pollennode.Parts{
-		Outlet: &outlet{h: h, start: h.starts}, Metrics: metrics, Record: h.w.record, Seed: h.w.random.Uint64(), Direct: true,
+		Outlet: &outlet{h: h, start: h.starts}, Metrics: metrics, Record: h.w.record, Seed: h.w.random.Uint64(), Direct: true, Policy: h.w.plan.Policy,
 	}
 	if h.server != nil {
 		s.Service, s.Server, s.Outbound = h.server.service.Name, h.node, h.node
--- a/pollenemulator/measure.go
+++ b/pollenemulator/measure.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"pollenstep.example/pollenstep/pollendocument"
@@ -46,6 +47,8 @@
 	drained int
 	emptied int
 	notes   []string
+	// times holds how long each answered request took.
+	times []time.Duration
 }
 
 type window struct{ asked, inTime int }
@@ -84,6 +87,7 @@
 		return
 	}
 	m.answers++
+	m.times = append(m.times, m.w.now.Sub(c.begun))
 	if m.w.now.Sub(c.begun) <= c.r.Objective {
 		m.inTime++
 		m.window(c.begun).inTime++
@@ -151,6 +155,8 @@
 		MeasureSlowest:   o.slowest.Seconds(),
 		MeasureMessages:  float64(m.messages) / (w.plan.Duration + lead).Seconds(),
 		MeasureImbalance: w.imbalance(),
+		MeasureMedian:    m.quantile(0.5),
+		MeasureTail:      m.quantile(0.99),
 	}}
 	for _, v := range m.windows {
 		r.Figures[MeasureWorst] = min(r.Figures[MeasureWorst], share(v.inTime, v.asked))
@@ -175,6 +181,16 @@
 	return r
 }
 
+// quantile returns the time of that share of the answered requests, in
+// milliseconds.
+func (m *measure) quantile(share float64) float64 {
+	if len(m.times) == 0 {
+		return 0
+	}
+	slices.Sort(m.times)
+	return float64(m.times[int(share*float64(len(m.times)-1))]) / float64(time.Millisecond)
+}
+
 func share(part, whole int) float64 {
 	if whole == 0 {
 		return 1
--- a/pollenemulator/plan.go
+++ b/pollenemulator/plan.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"pollenstep.example/pollenstep/pollendocument"
+	"pollenstep.example/pollenstep/pollensteer"
 	"pollenstep.example/pollenstep/pollenyaml"
 )
 
@@ -35,6 +36,8 @@
 	Seed     uint64
 	Duration time.Duration
 	Scheme   Scheme
+	// Policy chooses the gates of new flows; empty means the default.
+	Policy pollensteer.PolicyName
 	// Domains holds the failure domains; hosts and callers are spread over them.
 	Domains []pollendocument.DomainName
 	// Balancers is their number in each domain; the first Disks of them have a
@@ -153,6 +156,10 @@
 	MeasureUndecided Measure = "undecided"
 	// MeasureSlowest is the longest wait for an acknowledgement, in seconds.
 	MeasureSlowest Measure = "slowest"
+	// MeasureMedian and MeasureTail are the times of half and of 99 in 100 of the
+	// answered requests, in milliseconds.
+	MeasureMedian Measure = "median"
+	MeasureTail   Measure = "tail"
 	// MeasureImbalance is the most requests of a server over the mean.
 	MeasureImbalance Measure = "imbalance"
 	// MeasureMessages is the number of datagrams between nodes a second.
@@ -163,8 +170,8 @@
 func Measures() []Measure {
 	return []Measure{
 		MeasureServed, MeasureAnswered, MeasureWorst, MeasureBroken, MeasureMisrouted, MeasureDrained,
-		MeasureEmptied, MeasureDoubled, MeasureLost, MeasureUndecided, MeasureSlowest, MeasureImbalance,
-		MeasureMessages,
+		MeasureEmptied, MeasureDoubled, MeasureLost, MeasureUndecided, MeasureSlowest, MeasureMedian,
+		MeasureTail, MeasureImbalance, MeasureMessages,
 	}
 }
 
--- a/pollennode/balancer.go
+++ b/pollennode/balancer.go
@@ -56,7 +56,7 @@
 	self := pollenpeer.Peer{Role: pollenpeer.RoleBalancer, Disk: s.Data != "", First: s.First}
 	b := &Balancer{
 		base:  newBase(now, s, self, parts),
-		steer: pollensteer.New(pollensteer.Config{Domain: s.Domain, Begun: now, Seed: parts.Seed}),
+		steer: pollensteer.New(pollensteer.Config{Domain: s.Domain, Begun: now, Seed: parts.Seed, Policy: parts.Policy}),
 		calls: map[uint64]chan pollenlink.Answer{},
 	}
 	if s.Data != "" {
--- a/pollennode/base.go
+++ b/pollennode/base.go
@@ -13,6 +13,7 @@
 	"pollenstep.example/pollenstep/pollenpacket"
 	"pollenstep.example/pollenstep/pollenpeer"
 	"pollenstep.example/pollenstep/pollenrecord"
+	"pollenstep.example/pollenstep/pollensteer"
 	"pollenstep.example/pollenstep/pollenstore"
 	"pollenstep.example/pollenstep/pollenview"
 	"pollenstep.example/pollenstep/pollenwire"
@@ -53,6 +54,8 @@
 	Files   pollenstore.FileSystem
 	// Seed is drawn at each start; it makes choices repeatable.
 	Seed uint64
+	// Policy chooses the gates of new flows; empty means the default.
+	Policy pollensteer.PolicyName
 	// Direct lets the replica of the log act within the calls of the program, in
 	// place of a goroutine; TickControl must then be called.
 	Direct bool
--- a/pollensteer/balancer.go
+++ b/pollensteer/balancer.go
@@ -91,12 +91,15 @@
 	Begun time.Time
 	// Seed makes the choices repeatable.
 	Seed uint64
+	// Policy chooses the gates of new flows; the default is PolicyTwoChoices.
+	Policy PolicyName
 }
 
 // A Balancer decides on packets. It is not safe for concurrent use.
 type Balancer struct {
 	config Config
 	random *rand.Rand
+	policy policy
 	routes map[netip.AddrPort]*route
 	// revision is that of the view that routes were made from.
 	revision pollenview.Revision
@@ -144,10 +147,18 @@
 	gone bool
 }
 
-// New returns a new Balancer.
+// New returns a new Balancer. It panics when the policy is not registered, which
+// is a programming error.
 func New(config Config) *Balancer {
+	if config.Policy == "" {
+		config.Policy = PolicyTwoChoices
+	}
+	policy, err := policies.Lookup(string(config.Policy))
+	if err != nil {
+		panic(err)
+	}
 	return &Balancer{
-		config: config, random: rand.New(rand.NewPCG(config.Seed, 1)),
+		config: config, policy: policy, random: rand.New(rand.NewPCG(config.Seed, 1)),
 		routes: map[netip.AddrPort]*route{}, gates: map[netip.AddrPort]*gate{},
 		services: map[pollendocument.ServiceName][]*gate{}, hints: map[key]hint{},
 	}
@@ -276,7 +287,7 @@
 
 // place chooses a gate for a new flow.
 func (b *Balancer) place(now time.Time, k key, r *route, p *pollenpacket.Packet, without *gate) Decision {
-	g := b.choose(now, r, without)
+	g := b.choose(now, k, r, without)
 	if g == nil && now.Sub(b.config.Begun) < settleTime {
 		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalNotReady}
 	}
