--- a/pollenwire/size_test.go
+++ b/pollenwire/size_test.go
@@ -1,10 +1,12 @@
 package pollenwire_test
 
 import (
+	"net/netip"
 	"testing"
 
 	"pollenstep.example/pollenstep/pollenflow"
 	"pollenstep.example/pollenstep/pollenmember"
+	"pollenstep.example/pollenstep/pollenpeer"
 	"pollenstep.example/pollenstep/pollenwire"
 )
 
@@ -27,3 +29,25 @@
 		b.ReportMetric(float64(len(pollenwire.Marshal(&registration, pollenwire.MapRegistrations))), "B/registration")
 	}
 }
+
+// BenchmarkBeat reports the size of a gate's beat and of a balancer's, in bytes,
+// and the time to encode and decode one.
+func BenchmarkBeat(b *testing.B) {
+	at := netip.MustParseAddrPort("10.1.0.10:7720")
+	beat := pollenpeer.Beat{Leader: at, Peer: pollenpeer.Peer{
+		Address: at, Role: pollenpeer.RoleGate, Domain: "celje-a", Incarnation: 1 << 62, Sequence: 1000, Revision: 5000,
+		Server: pollenpeer.Server{Service: "ringbook", State: pollenpeer.ServerReady, Slots: 5, Running: 3, Average: 2.5, Flows: 50},
+	}}
+	for range 8 {
+		beat.Balancers = append(beat.Balancers, at)
+	}
+	size := len(pollenwire.Marshal(&beat, pollenwire.MapBeat))
+	b.ReportAllocs()
+	for b.Loop() {
+		var got pollenpeer.Beat
+		if err := pollenwire.Unmarshal(pollenwire.Marshal(&beat, pollenwire.MapBeat), &got, pollenwire.MapBeat); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(size), "bytes")
+}
