--- a/pollennode/balancer.go
+++ b/pollennode/balancer.go
@@ -286,7 +286,7 @@
 		}
 		b.sendBeat(beat.Peer.Address, &own)
 	}
-	b.sendUpdate(now, &beat.Peer)
+	b.catchUp(now, &beat.Peer)
 }
 
 // ownBeat returns the next beat. The lock is held.
@@ -317,6 +317,7 @@
 			b.steer.RemoveGate(p.Address)
 		}
 		delete(b.updated, p.Address)
+		delete(b.behind, p.Address)
 		b.record.Change("peer lost", peerFields(&p))
 	}
 	b.steer.Sweep(now)
--- a/pollennode/base.go
+++ b/pollennode/base.go
@@ -33,6 +33,8 @@
 	view  *pollenview.Replica
 	// updated holds when each peer was last sent an update.
 	updated map[netip.AddrPort]time.Time
+	// behind holds since when each peer has been seen to lack something.
+	behind map[netip.AddrPort]time.Time
 }
 
 func newBase(now time.Time, s Settings, self pollenpeer.Peer, parts Parts) *base {
@@ -42,6 +44,7 @@
 		settings: s, began: now, record: parts.Record, metrics: parts.Metrics, outlet: parts.Outlet,
 		table: pollenpeer.NewTable(self, s.Seeds),
 		view:  pollenview.NewReplica(pollenview.NewView()), updated: map[netip.AddrPort]time.Time{},
+		behind: map[netip.AddrPort]time.Time{},
 	}
 }
 
@@ -110,6 +113,24 @@
 	b.outlet.Message(p.Address, pollenlink.KindUpdate, pollenwire.Marshal(&update, pollenwire.MapUpdate))
 }
 
+// catchUp brings a peer forward whose beat shows that it lacks something. What
+// it has just begun to lack is on its way from the balancer nearest to it; if
+// every balancer sent it, their links would be full of copies.
+func (b *base) catchUp(now time.Time, p *pollenpeer.Peer) {
+	if p.Revision >= b.view.Revision() {
+		delete(b.behind, p.Address)
+		return
+	}
+	since, known := b.behind[p.Address]
+	if !known {
+		since = now
+		b.behind[p.Address] = now
+	}
+	if p.Revision == 0 || b.table.Nearest(p.Address) || now.Sub(since) >= laggardAfter {
+		b.sendUpdate(now, p)
+	}
+}
+
 // accept folds an update into the view and reports whether it moved. The lock
 // is held.
 func (b *base) accept(u pollenview.Update, from netip.AddrPort) bool {
--- a/pollennode/settings.go
+++ b/pollennode/settings.go
@@ -63,6 +63,9 @@
 	// catchUpInterval is the least time between two updates to the same peer,
 	// longer than a round trip between the farthest hosts.
 	catchUpInterval = 150 * time.Millisecond
+	// laggardAfter is how long a peer must lack something before any balancer
+	// sends it: one beat and a half after the nearest one did.
+	laggardAfter = 600 * time.Millisecond
 )
 
 func (s *Settings) checkBalancer() error {
