Search by questions instead of packets; let gates know when they have seen every flow

Change: a question of 32 bytes goes to the gates, the packet only to the holder or to a gate that took over a running server.

--- a/pollengate/gate.go
+++ b/pollengate/gate.go
@@ -28,6 +28,8 @@
 	VerdictDecline Verdict = "decline"
 	// VerdictAbsent tells the balancer that the flow is not held here.
 	VerdictAbsent Verdict = "absent"
+	// VerdictUnsure tells the balancer that only a packet can tell.
+	VerdictUnsure Verdict = "unsure"
 	// VerdictReset ends the flow at the caller.
 	VerdictReset Verdict = "reset"
 	// VerdictCaller sends a packet of the backend server to the caller.
@@ -81,6 +83,9 @@
 	Domain  pollendocument.DomainName
 	Service pollendocument.ServiceName
 	Bounds  Bounds
+	// First is set while the whole system starts for the first time, so that no
+	// flow is older than the gate.
+	First bool
 }
 
 // A Gate decides on packets. It is not safe for concurrent use.
@@ -93,7 +98,9 @@
 	revision pollenview.Revision
 	emptied  bool
 
-	report Report
+	// complete is set if the gate has seen every flow of its backend server.
+	complete bool
+	report   Report
 	// reported is when the last report came; zero before the first.
 	reported time.Time
 	// coldUntil is when the backend server bears its full load.
@@ -151,7 +158,7 @@
 // New returns a new Gate.
 func New(now time.Time, config Config) *Gate {
 	return &Gate{
-		config: config, hash: pollensteer.ServiceHash(config.Service), begun: now,
+		config: config, hash: pollensteer.ServiceHash(config.Service), begun: now, complete: config.First,
 		routes: map[netip.AddrPort]*pollendocument.Route{}, flows: map[pollenpacket.Flow]*flow{},
 		asked: map[pollenpacket.Flow]question{},
 		load:  average{at: now}, work: duration{value: defaultWork},
@@ -198,6 +205,10 @@
 		clear(g.flows)
 		g.running = 0
 		g.load.set(now, 0)
+		g.complete = true
+	}
+	if g.reported.IsZero() && r.Sequence == firstSequence {
+		g.complete = true
 	}
 	g.report, g.reported = r, now
 	g.coldUntil = now.Add(r.Cold)
@@ -205,6 +216,10 @@
 	return true
 }
 
+// firstSequence numbers the first report of a backend server, before which no
+// flow is sent there.
+const firstSequence = 1
+
 // Left records that the backend server says goodbye.
 func (g *Gate) Left(now time.Time) {
 	g.report.State, g.reported = pollenpeer.ServerDraining, now
@@ -269,6 +284,23 @@
 	return d
 }
 
+// Query answers whether the flow is held here, by what its caller acknowledged
+// last.
+func (g *Gate) Query(now time.Time, f pollenpacket.Flow, acknowledged uint32) Decision {
+	known := g.flows[f]
+	p := pollenpacket.Packet{Flow: f, Answer: true, Acknowledged: acknowledged}
+	switch {
+	case known != nil && known.acknowledgedBy(&p):
+		return Decision{Verdict: VerdictDrop, Held: true}
+	case known != nil:
+		g.forget(now, f)
+		return Decision{Verdict: VerdictAbsent, Reason: pollenkernel.RefusalUnknownFlow}
+	case g.mayHoldUnknown(now):
+		return Decision{Verdict: VerdictUnsure}
+	}
+	return Decision{Verdict: VerdictAbsent, Reason: pollenkernel.RefusalUnknownFlow}
+}
+
 // acknowledgedBy reports whether a caller's packet can belong to the flow that
 // the backend server opened: it acknowledges something of that one's stream.
 func (f *flow) acknowledgedBy(p *pollenpacket.Packet) bool {
@@ -290,6 +322,9 @@
 // opened before this process started.
 func (g *Gate) mayHoldUnknown(now time.Time) bool {
 	age := now.Sub(g.begun)
+	if g.complete {
+		return false
+	}
 	if g.reported.IsZero() && age >= firstReports*g.config.Bounds.ReportInterval {
 		return false
 	}
--- a/pollengate/gate_test.go
+++ b/pollengate/gate_test.go
@@ -39,7 +39,7 @@
 
 func report(state pollenpeer.ServerState, sequence uint64) pollengate.Report {
 	return pollengate.Report{
-		Name: "i-1", Service: "rings", State: state, Slots: slots, Born: 1, Sequence: sequence,
+		Name: "i-1", Service: "rings", State: state, Slots: slots, Born: 1, Sequence: 10 + sequence,
 	}
 }
 
@@ -261,6 +261,33 @@
 	want(t, g.FromServer(begun, &pollenpacket.Packet{Flow: flow(2), Reset: true}), pollengate.VerdictCaller, "")
 }
 
+func TestQueries(t *testing.T) {
+	g := ready(0, 0)
+	open(g, begun, 1, 0, 0)
+	accept(g, begun, 1)
+	if d := g.Query(begun, flow(1), 501); !d.Held {
+		t.Fatalf("flow that is held: %+v", d)
+	}
+	if d := g.Query(begun, flow(1), 9001); d.Held || d.Verdict != pollengate.VerdictAbsent {
+		t.Fatalf("flow that its caller opened elsewhere: %+v", d)
+	}
+	if d := g.Query(begun, flow(2), 501); d.Verdict != pollengate.VerdictUnsure {
+		t.Fatalf("flow that a restarted gate has not seen: %+v", d)
+	}
+}
+
+// TestGateSinceTheFirstReport knows that it has seen every flow.
+func TestGateSinceTheFirstReport(t *testing.T) {
+	g := pollengate.New(begun, pollengate.Config{Domain: "a", Service: "rings", Bounds: pollengate.Bounds{ReportInterval: time.Second}})
+	g.SetView(view(1, 0))
+	r := report(pollenpeer.ServerReady, 1)
+	r.Sequence = 1
+	g.Report(begun, r)
+	if d := g.Query(begun, flow(2), 501); d.Verdict != pollengate.VerdictAbsent {
+		t.Fatalf("flow that was never opened: %+v", d)
+	}
+}
+
 // TestGateWithoutServer stands beside a server that did not come back after a
 // power loss: it must not keep searches open for ever.
 func TestGateWithoutServer(t *testing.T) {
--- a/pollenlink/frame.go
+++ b/pollenlink/frame.go
@@ -28,6 +28,10 @@
 	// KindAbsent carries back a packet whose flow was searched for in vain, or
 	// only names the flow.
 	KindAbsent Kind = "absent"
+	// KindQuery asks whether a gate holds a flow, and KindUnsure answers that only
+	// a packet of it can tell.
+	KindQuery  Kind = "query"
+	KindUnsure Kind = "unsure"
 	// KindHeld tells a balancer that the sender holds a flow.
 	KindHeld Kind = "held"
 	// KindBeat carries a pollenpeer.Beat.
@@ -45,7 +49,7 @@
 
 var kinds = [...]Kind{
 	KindPass, KindSearch, KindDeclined, KindHeld, KindBeat, KindUpdate, KindLog, KindJoin, KindCall, KindAnswer,
-	KindAbsent,
+	KindAbsent, KindQuery, KindUnsure,
 }
 
 func (k Kind) code() byte {
@@ -64,6 +68,12 @@
 	return kinds[code-1]
 }
 
+// ofFlow reports whether a datagram of the kind concerns one flow, whether it
+// carries a packet of it or not.
+func (k Kind) ofFlow() bool {
+	return k.carriesPacket() || k == KindHeld || k == KindQuery || k == KindUnsure
+}
+
 // carriesPacket reports whether a packet of a flow follows the header.
 func (k Kind) carriesPacket() bool {
 	return k == KindPass || k == KindSearch || k == KindDeclined || k == KindAbsent
@@ -147,6 +157,20 @@
 	return data
 }
 
+// AppendQuery appends the ends of a flow and what its caller acknowledged last.
+func AppendQuery(data []byte, f pollenpacket.Flow, acknowledged uint32) []byte {
+	return binary.BigEndian.AppendUint32(AppendFlow(data, f), acknowledged)
+}
+
+// ReadQuery undoes AppendQuery; ok is false when the bytes are too few.
+func ReadQuery(data []byte) (f pollenpacket.Flow, acknowledged uint32, ok bool) {
+	f, ok = ReadFlow(data)
+	if !ok || len(data) < flowSize+4 {
+		return f, 0, false
+	}
+	return f, binary.BigEndian.Uint32(data[flowSize:]), true
+}
+
 // OnlyFlow reports whether a datagram names a flow and carries no packet.
 func OnlyFlow(datagram []byte) bool { return len(datagram) == HeaderSize+flowSize }
 
--- a/pollenlink/link.go
+++ b/pollenlink/link.go
@@ -32,8 +32,8 @@
 
 // A Handler takes what arrives. It must not keep the data.
 type Handler interface {
-	// TakePacket takes a datagram whose kind carries a packet, which lies from
-	// HeaderSize on, or that tells of a held flow.
+	// TakePacket takes a datagram that concerns one flow. A packet of it, or its
+	// ends, lie from HeaderSize on.
 	TakePacket(now time.Time, from netip.AddrPort, h Header, datagram []byte)
 	// TakeMessage takes a whole message.
 	TakeMessage(now time.Time, from netip.AddrPort, kind Kind, message []byte)
@@ -76,7 +76,7 @@
 		switch {
 		case !ok:
 			handler.TakeGarbage(time.Now(), from, n)
-		case h.Kind.carriesPacket() || h.Kind == KindHeld:
+		case h.Kind.ofFlow():
 			handler.TakePacket(time.Now(), from, h, buffer[:n])
 		default:
 			if message := join.add(time.Now(), from, buffer[:n]); message != nil {
--- a/pollennode/balancer.go
+++ b/pollennode/balancer.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"pollenstep.example/pollenstep/pollencontrol"
@@ -49,15 +50,30 @@
 	founder netip.AddrPort
 	call    uint64
 	calls   map[uint64]chan pollenlink.Answer
+	// pending holds the last packet of each flow that is searched.
+	pending map[pollenpacket.Flow]pending
 }
 
+// A pending packet waits, as a datagram, until the holder of its flow is found.
+type pending struct {
+	datagram []byte
+	at       time.Time
+}
+
+// Limits of pending packets.
+const (
+	maxPending = 512
+	// pendingFor is longer than a search takes; the caller's own copy comes then.
+	pendingFor = 300 * time.Millisecond
+)
+
 // NewBalancer returns a new Balancer that works with the parts.
 func NewBalancer(now time.Time, s Settings, parts Parts) *Balancer {
 	self := pollenpeer.Peer{Role: pollenpeer.RoleBalancer, Disk: s.Data != "", First: s.First}
 	b := &Balancer{
 		base:  newBase(now, s, self, parts),
 		steer: pollensteer.New(pollensteer.Config{Domain: s.Domain, Begun: now, Seed: parts.Seed, Policy: parts.Policy}),
-		calls: map[uint64]chan pollenlink.Answer{},
+		calls: map[uint64]chan pollenlink.Answer{}, pending: map[pollenpacket.Flow]pending{},
 	}
 	if s.Data != "" {
 		b.control = newControl(b, parts)
@@ -143,19 +159,69 @@
 		b.settings.Format.SetMark(datagram[pollenlink.HeaderSize:], markOf(b.settings.Node))
 		b.outlet.Node(d.Gate, datagram)
 	case pollensteer.VerdictSearch:
-		b.metrics.Retried(pollenkernel.RetrySearch)
-		h.Kind = pollenlink.KindSearch
-		h.Put(datagram)
-		b.settings.Format.SetMark(datagram[pollenlink.HeaderSize:], 0)
-		for _, g := range d.Gates {
-			b.outlet.Node(g, datagram)
-		}
+		b.search(now, p, d, h, datagram)
 	case pollensteer.VerdictReset:
 		b.reset(p)
 	case pollensteer.VerdictDrop:
 	}
 }
 
+// search asks gates whether they hold the flow, and keeps its packet meanwhile.
+// A question is a twentieth of a packet, and a service may have many gates.
+func (b *Balancer) search(
+	now time.Time, p *pollenpacket.Packet, d *pollensteer.Decision, h pollenlink.Header, datagram []byte,
+) {
+	b.metrics.Retried(pollenkernel.RetrySearch)
+	if !pollenlink.OnlyFlow(datagram) {
+		b.mu.Lock()
+		if len(b.pending) < maxPending {
+			b.pending[p.Flow] = pending{datagram: slices.Clone(datagram), at: now}
+		}
+		b.mu.Unlock()
+	}
+	h.Kind = pollenlink.KindQuery
+	query := make([]byte, pollenlink.HeaderSize, 2*pollenlink.HeaderSize)
+	h.Put(query)
+	query = pollenlink.AppendQuery(query, p.Flow, p.Acknowledged)
+	for _, g := range d.Gates {
+		b.outlet.Node(g, query)
+	}
+}
+
+// takeFlow takes what a gate says of a flow without a packet of it.
+func (b *Balancer) takeFlow(now time.Time, from netip.AddrPort, h pollenlink.Header, f pollenpacket.Flow, datagram []byte) {
+	p := pollenpacket.Packet{Flow: f, Answer: true}
+	b.mu.Lock()
+	waiting, found := b.pending[f]
+	var d pollensteer.Decision
+	switch h.Kind {
+	case pollenlink.KindHeld:
+		b.steer.Held(now, from, f)
+		delete(b.pending, f)
+	case pollenlink.KindAbsent:
+		d = b.steer.AbsentFlow(now, from, &p)
+	default:
+	}
+	h.Revision = b.steer.Revision()
+	b.mu.Unlock()
+	packet := waiting.datagram
+	switch {
+	case h.Kind == pollenlink.KindAbsent:
+		b.carryOut(now, &p, &d, h, datagram)
+	case !found:
+	case h.Kind == pollenlink.KindHeld:
+		h.Kind = pollenlink.KindPass
+		h.Put(packet)
+		b.settings.Format.SetMark(packet[pollenlink.HeaderSize:], markOf(b.settings.Node))
+		b.outlet.Node(from, packet)
+	case h.Kind == pollenlink.KindUnsure:
+		h.Kind = pollenlink.KindSearch
+		h.Put(packet)
+		b.settings.Format.SetMark(packet[pollenlink.HeaderSize:], 0)
+		b.outlet.Node(from, packet)
+	}
+}
+
 // markOf returns the mark by which a gate finds the balancer that passed a
 // packet: its IPv4 address.
 func markOf(node netip.AddrPort) uint32 {
@@ -176,20 +242,8 @@
 
 // TakePacket implements pollenlink.Handler.
 func (b *Balancer) TakePacket(now time.Time, from netip.AddrPort, h pollenlink.Header, datagram []byte) {
-	if h.Kind == pollenlink.KindHeld {
-		if f, ok := pollenlink.ReadFlow(datagram[pollenlink.HeaderSize:]); ok {
-			b.mu.Lock()
-			b.steer.Held(now, from, f)
-			b.mu.Unlock()
-			return
-		}
-	}
-	if f, ok := pollenlink.ReadFlow(datagram[pollenlink.HeaderSize:]); ok && h.Kind == pollenlink.KindAbsent && pollenlink.OnlyFlow(datagram) {
-		p := pollenpacket.Packet{Flow: f, Answer: true}
-		b.mu.Lock()
-		d := b.steer.AbsentFlow(now, from, &p)
-		b.mu.Unlock()
-		b.carryOut(now, &p, &d, h, datagram)
+	if f, ok := pollenlink.ReadFlow(datagram[pollenlink.HeaderSize:]); ok && pollenlink.OnlyFlow(datagram) {
+		b.takeFlow(now, from, h, f, datagram)
 		return
 	}
 	p, ok := b.settings.Format.Caller(datagram[pollenlink.HeaderSize:])
@@ -321,6 +375,11 @@
 		b.record.Change("peer lost", peerFields(&p))
 	}
 	b.steer.Sweep(now)
+	for f, p := range b.pending {
+		if now.Sub(p.at) >= pendingFor {
+			delete(b.pending, f)
+		}
+	}
 	b.nameFounder(now)
 	b.beat(now)
 	b.record.ReportLeft(now)
--- a/pollennode/gate.go
+++ b/pollennode/gate.go
@@ -32,7 +32,7 @@
 func NewGate(now time.Time, s Settings, parts Parts) *Gate {
 	return &Gate{
 		base: newBase(now, s, pollenpeer.Peer{Role: pollenpeer.RoleGate}, parts),
-		gate: pollengate.New(now, pollengate.Config{Domain: s.Domain, Service: s.Service, Bounds: s.Bounds}),
+		gate: pollengate.New(now, pollengate.Config{Domain: s.Domain, Service: s.Service, Bounds: s.Bounds, First: s.First}),
 	}
 }
 
@@ -181,6 +181,10 @@
 
 // TakePacket implements pollenlink.Handler.
 func (g *Gate) TakePacket(now time.Time, from netip.AddrPort, h pollenlink.Header, datagram []byte) {
+	if h.Kind == pollenlink.KindQuery {
+		g.takeQuery(now, from, h, datagram)
+		return
+	}
 	p, ok := g.settings.Format.Caller(datagram[pollenlink.HeaderSize:])
 	if !ok || p.Returned || (h.Kind != pollenlink.KindPass && h.Kind != pollenlink.KindSearch) {
 		g.malformed(now, from, len(datagram), string(h.Kind))
@@ -193,6 +197,27 @@
 	g.carryOut(now, from, &p, &d, h, datagram)
 }
 
+// takeQuery answers whether a flow is held here.
+func (g *Gate) takeQuery(now time.Time, from netip.AddrPort, h pollenlink.Header, datagram []byte) {
+	f, acknowledged, ok := pollenlink.ReadQuery(datagram[pollenlink.HeaderSize:])
+	if !ok {
+		g.malformed(now, from, len(datagram), string(h.Kind))
+		return
+	}
+	g.mu.Lock()
+	d := g.gate.Query(now, f, acknowledged)
+	g.mu.Unlock()
+	switch {
+	case d.Held:
+		h.Kind = pollenlink.KindHeld
+	case d.Verdict == pollengate.VerdictUnsure:
+		h.Kind = pollenlink.KindUnsure
+	default:
+		h.Kind = pollenlink.KindAbsent
+	}
+	g.sendFlow(from, h, f)
+}
+
 // TakeMessage implements pollenlink.Handler.
 func (g *Gate) TakeMessage(now time.Time, from netip.AddrPort, kind pollenlink.Kind, message []byte) {
 	switch kind {
--- a/pollensteer/balancer.go
+++ b/pollensteer/balancer.go
@@ -375,14 +375,10 @@
 }
 
 // AbsentFlow is Absent for a gate that does not send the packet back. It sets
-// what the caller acknowledged; a wider search waits for the caller's copy.
+// what the caller acknowledged last.
 func (b *Balancer) AbsentFlow(now time.Time, from netip.AddrPort, p *pollenpacket.Packet) Decision {
 	p.Acknowledged = b.hints[keyOf(p.Flow)].acknowledged
-	d := b.Absent(now, from, p)
-	if d.Verdict == VerdictSearch {
-		return Decision{Verdict: VerdictDrop, Reason: d.Reason}
-	}
-	return d
+	return b.Absent(now, from, p)
 }
 
 // everyGateAbsent reports whether every gate that may hold a flow is in the
--- a/pollensteer/balancer_test.go
+++ b/pollensteer/balancer_test.go
@@ -194,7 +194,7 @@
 	b.Steer(settled, packet(1))
 	p := &pollenpacket.Packet{Flow: packet(1).Flow}
 	want(t, b.AbsentFlow(settled, address(1), p), pollensteer.VerdictDrop, pollenkernel.RefusalUnknownFlow)
-	want(t, b.AbsentFlow(settled, address(2), p), pollensteer.VerdictDrop, pollenkernel.RefusalUnknownFlow)
+	want(t, b.AbsentFlow(settled, address(2), p), pollensteer.VerdictSearch, pollenkernel.RefusalUnknownFlow)
 	want(t, b.AbsentFlow(settled, address(3), p), pollensteer.VerdictReset, pollenkernel.RefusalUnknownFlow)
 	if p.Acknowledged != packet(1).Acknowledged {
 		t.Fatalf("reset at %d; the caller acknowledged %d", p.Acknowledged, packet(1).Acknowledged)
