--- a/pollengate/admit.go
+++ b/pollengate/admit.go
@@ -62,7 +62,7 @@
 		// The balancer has checked route and failure domain against a newer view.
 	case g.emptied:
 		return pollenkernel.RefusalDomainOut
-	case !g.mayServe(p.Flow.Service):
+	case g.routes[p.Flow.Service] == nil:
 		return pollenkernel.RefusalNoRoute
 	}
 	switch g.State(now) {
--- a/pollennode/balancer.go
+++ b/pollennode/balancer.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 	"time"
 
 	"pollenstep.example/pollenstep/pollencontrol"
@@ -54,19 +53,6 @@
 	pending map[pollenpacket.Flow]pending
 }
 
-// A pending packet waits, as a datagram, until the holder of its flow is found.
-type pending struct {
-	datagram []byte
-	at       time.Time
-}
-
-// Limits of pending packets.
-const (
-	maxPending = 512
-	// pendingFor is longer than a search takes; the caller's own copy comes then.
-	pendingFor = 300 * time.Millisecond
-)
-
 // NewBalancer returns a new Balancer that works with the parts.
 func NewBalancer(now time.Time, s Settings, parts Parts) *Balancer {
 	self := pollenpeer.Peer{Role: pollenpeer.RoleBalancer, Disk: s.Data != "", First: s.First}
@@ -137,109 +123,6 @@
 	b.carryOut(now, &p, &d, pollenlink.Header{Revision: revision}, datagram)
 }
 
-// carryOut does what was decided on a packet.
-func (b *Balancer) carryOut(
-	now time.Time, p *pollenpacket.Packet, d *pollensteer.Decision, h pollenlink.Header, datagram []byte,
-) {
-	if p.Opening() || d.Verdict == pollensteer.VerdictReset {
-		b.logDecision(now, p, d, h)
-	}
-	if d.Reason != pollenkernel.RefusalNone {
-		b.metrics.Refused(d.Reason)
-	}
-	if d.Retry != "" {
-		b.metrics.Retried(d.Retry)
-	}
-	h.Service = d.Service
-	h.Reason = pollenkernel.RefusalNone
-	switch d.Verdict {
-	case pollensteer.VerdictPass:
-		h.Kind = pollenlink.KindPass
-		h.Put(datagram)
-		b.settings.Format.SetMark(datagram[pollenlink.HeaderSize:], markOf(b.settings.Node))
-		b.outlet.Node(d.Gate, datagram)
-	case pollensteer.VerdictSearch:
-		b.search(now, p, d, h, datagram)
-	case pollensteer.VerdictReset:
-		b.reset(p)
-	case pollensteer.VerdictDrop:
-	}
-}
-
-// search asks gates whether they hold the flow, and keeps its packet meanwhile.
-// A question is a twentieth of a packet, and a service may have many gates.
-func (b *Balancer) search(
-	now time.Time, p *pollenpacket.Packet, d *pollensteer.Decision, h pollenlink.Header, datagram []byte,
-) {
-	b.metrics.Retried(pollenkernel.RetrySearch)
-	if !pollenlink.OnlyFlow(datagram) {
-		b.mu.Lock()
-		if len(b.pending) < maxPending {
-			b.pending[p.Flow] = pending{datagram: slices.Clone(datagram), at: now}
-		}
-		b.mu.Unlock()
-	}
-	h.Kind = pollenlink.KindQuery
-	query := make([]byte, pollenlink.HeaderSize, 2*pollenlink.HeaderSize)
-	h.Put(query)
-	query = pollenlink.AppendQuery(query, p.Flow, p.Acknowledged)
-	for _, g := range d.Gates {
-		b.outlet.Node(g, query)
-	}
-}
-
-// takeFlow takes what a gate says of a flow without a packet of it.
-func (b *Balancer) takeFlow(now time.Time, from netip.AddrPort, h pollenlink.Header, f pollenpacket.Flow, datagram []byte) {
-	p := pollenpacket.Packet{Flow: f, Answer: true}
-	b.mu.Lock()
-	waiting, found := b.pending[f]
-	var d pollensteer.Decision
-	switch h.Kind {
-	case pollenlink.KindHeld:
-		b.steer.Held(now, from, f)
-		delete(b.pending, f)
-	case pollenlink.KindAbsent:
-		d = b.steer.AbsentFlow(now, from, &p)
-	default:
-	}
-	h.Revision = b.steer.Revision()
-	b.mu.Unlock()
-	packet := waiting.datagram
-	switch {
-	case h.Kind == pollenlink.KindAbsent:
-		b.carryOut(now, &p, &d, h, datagram)
-	case !found:
-	case h.Kind == pollenlink.KindHeld:
-		h.Kind = pollenlink.KindPass
-		h.Put(packet)
-		b.settings.Format.SetMark(packet[pollenlink.HeaderSize:], markOf(b.settings.Node))
-		b.outlet.Node(from, packet)
-	case h.Kind == pollenlink.KindUnsure:
-		h.Kind = pollenlink.KindSearch
-		h.Put(packet)
-		b.settings.Format.SetMark(packet[pollenlink.HeaderSize:], 0)
-		b.outlet.Node(from, packet)
-	}
-}
-
-// markOf returns the mark by which a gate finds the balancer that passed a
-// packet: its IPv4 address.
-func markOf(node netip.AddrPort) uint32 {
-	ip := node.Addr().As4()
-	return uint32(ip[0])<<24 | uint32(ip[1])<<16 | uint32(ip[2])<<8 | uint32(ip[3])
-}
-
-func (b *Balancer) logDecision(now time.Time, p *pollenpacket.Packet, d *pollensteer.Decision, h pollenlink.Header) {
-	if !b.record.Wants(now) {
-		return
-	}
-	b.record.Decision("flow steered", pollenrecord.Fields{
-		"caller": p.Flow.Caller, "service": p.Flow.Service, "copy": p.Acknowledged, "opening": p.Opening(),
-		"verdict": d.Verdict, "reason": d.Reason, "gate": d.Gate, "load": d.Load, "age": d.Age.String(),
-		"hops": h.Hops, "declined": h.Reason, "revision": h.Revision,
-	})
-}
-
 // TakePacket implements pollenlink.Handler.
 func (b *Balancer) TakePacket(now time.Time, from netip.AddrPort, h pollenlink.Header, datagram []byte) {
 	if f, ok := pollenlink.ReadFlow(datagram[pollenlink.HeaderSize:]); ok && pollenlink.OnlyFlow(datagram) {
