--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,9 @@
 	go test -run '^$$' -fuzz FuzzRead -fuzztime 30s ./pollendocument
 	go test -run '^$$' -fuzz FuzzUnmarshal -fuzztime 30s ./pollenwire
 	go test -run '^$$' -fuzz FuzzOpen -fuzztime 30s ./pollenwire
+	go test -run '^$$' -fuzz FuzzHeader -fuzztime 30s ./pollenlink
+	go test -run '^$$' -fuzz FuzzDatagram -fuzztime 30s ./platform
+	go test -run '^$$' -fuzz FuzzDocument -fuzztime 30s ./platform
 
 format: $(LINT)
 	$(LINT) fmt ./...
