--- a/pollenemulator/plan.go
+++ b/pollenemulator/plan.go
@@ -6,7 +6,6 @@
 import (
 	"fmt"
 	"os"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -276,16 +275,12 @@
 
 func readExpectation(m *pollenyaml.Mapping) Expectation {
 	e := Expectation{AtLeast: m.Has("least")}
-	number := pollenyaml.Field[float64]{Allowed: "a number", Parse: func(text string) (float64, bool) {
-		f, err := strconv.ParseFloat(text, 64)
-		return f, err == nil
-	}}
 	pollenyaml.Required(m, "measure", &e.Measure, pollenyaml.Enum(Measures()...))
 	if e.AtLeast == m.Has("most") {
 		m.Problem("most", "", fmt.Sprintf("most or least of %s, one of them", e.Measure))
 	}
-	pollenyaml.Optional(m, "least", &e.Bound, number)
-	pollenyaml.Optional(m, "most", &e.Bound, number)
+	pollenyaml.Optional(m, "least", &e.Bound, pollenyaml.Number())
+	pollenyaml.Optional(m, "most", &e.Bound, pollenyaml.Number())
 	m.Done("measure", "most", "least")
 	return e
 }
--- a/pollenemulator/router.go
+++ b/pollenemulator/router.go
@@ -27,7 +27,7 @@
 	missed int
 }
 
-func newRouter(w *world, _ int) *router {
+func newRouter(w *world) *router {
 	r := &router{w: w}
 	w.after(0, r.probe)
 	return r
--- a/pollenemulator/world.go
+++ b/pollenemulator/world.go
@@ -140,7 +140,7 @@
 	w.operator = newOperator(w)
 	for z, d := range p.Domains {
 		w.seeds = append(w.seeds, netip.AddrPortFrom(hostAddress(z, 1), nodePort))
-		w.routers[d] = newRouter(w, z)
+		w.routers[d] = newRouter(w)
 	}
 	w.seeds = w.seeds[:min(len(w.seeds), 3)]
 	for range p.Balancers {
--- a/pollenpacket/packet.go
+++ b/pollenpacket/packet.go
@@ -11,9 +11,6 @@
 	Service netip.AddrPort
 }
 
-// Valid reports whether both ends are set.
-func (f Flow) Valid() bool { return f.Caller.IsValid() && f.Service.IsValid() }
-
 // A Packet is what the system reads of one packet of a flow.
 type Packet struct {
 	Flow Flow
--- a/pollentrace/read.go
+++ b/pollentrace/read.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/netip"
 	"os"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -102,17 +101,13 @@
 
 func readExpectation(m *pollenyaml.Mapping) Expectation {
 	e := Expectation{}
-	number := pollenyaml.Field[float64]{Allowed: "a number", Parse: func(text string) (float64, bool) {
-		f, err := strconv.ParseFloat(text, 64)
-		return f, err == nil
-	}}
 	pollenyaml.Required(m, "measure", &e.Measure, pollenyaml.Enum(Measures()...))
 	e.AtLeast = m.Has("least")
 	if e.AtLeast == m.Has("most") {
 		m.Problem("most", "", fmt.Sprintf("most or least of %s, one of them", e.Measure))
 	}
-	pollenyaml.Optional(m, "least", &e.Bound, number)
-	pollenyaml.Optional(m, "most", &e.Bound, number)
+	pollenyaml.Optional(m, "least", &e.Bound, pollenyaml.Number())
+	pollenyaml.Optional(m, "most", &e.Bound, pollenyaml.Number())
 	m.Done("measure", "most", "least")
 	return e
 }
--- a/pollenyaml/mapping.go
+++ b/pollenyaml/mapping.go
@@ -302,6 +302,14 @@
 	}
 }
 
+// Number accepts a decimal number.
+func Number() Field[float64] {
+	return Field[float64]{Allowed: "a number", Parse: func(text string) (float64, bool) {
+		f, err := strconv.ParseFloat(text, 64)
+		return f, err == nil
+	}}
+}
+
 // Duration returns the field type of durations from low to high.
 func Duration(low, high time.Duration) Field[time.Duration] {
 	return Field[time.Duration]{
