Tell callers at once that flows are gone when power returns; hold openings while starting

Opening packets at balancers without a view were dropped as well, and copies that were late by then took slots from newcomers.

Change: beats carry uptime and whether a backend server has just started; when all have, flows that nobody holds are reset after 300 ms instead of 2 s, also those searched before. Openings are held until the view and a gate are known. The last copy of an opening that every gate declined is refused at once. Late copies take no slot that newcomers are declined for.

--- a/pollengate/admit.go
+++ b/pollengate/admit.go
@@ -30,7 +30,14 @@
 	if g.cold(now) && g.coldRoom(now) <= 0 {
 		return Decision{Verdict: VerdictDecline, Reason: pollenkernel.RefusalColdLimit, Opened: true, Wait: wait}
 	}
+	late := g.late(p)
+	if late && g.pressed(now) {
+		return Decision{Verdict: VerdictDecline, Reason: pollenkernel.RefusalSlots, Opened: true, Wait: wait}
+	}
 	if h.Hops < lastHop && g.running >= g.slots() {
+		if h.Hops > 0 && !late {
+			g.crowded = now
+		}
 		return Decision{Verdict: VerdictDecline, Reason: pollenkernel.RefusalSlots, Opened: true, Wait: wait}
 	}
 	if r := g.routes[p.Flow.Service]; r != nil && wait > 0 {
@@ -40,6 +47,9 @@
 			return Decision{Verdict: VerdictReset, Reason: pollenkernel.RefusalSlots, Opened: true, Wait: wait}
 		}
 		if wait > g.patience(r, p.Acknowledged) {
+			if !late {
+				g.crowded = now
+			}
 			return Decision{Verdict: VerdictDecline, Reason: pollenkernel.RefusalSlots, Opened: true, Wait: wait}
 		}
 	}
@@ -104,6 +114,28 @@
 	return max(0, r.Objective-waited-2*g.work.value)
 }
 
+// late reports whether a request would miss its objective by what its caller has
+// waited already.
+func (g *Gate) late(p *pollenpacket.Packet) bool {
+	r := g.routes[p.Flow.Service]
+	return r != nil && p.Acknowledged > 0 && g.patience(r, p.Acknowledged) == 0
+}
+
+// pressedFor is how long after it declined a request that could be in time a
+// gate takes none that cannot: a few times the work of a request, within which
+// another one comes for the same slot.
+const pressedFor = 50 * time.Millisecond
+
+// pressed reports whether requests that could be in time are declined here, and
+// at the gate that was asked before.
+//
+// It answers the backlog after an outage: the requests that waited it out would
+// take the slots of newcomers, so that both are late. Those that cannot be in
+// time any more wait until the newcomers find room.
+func (g *Gate) pressed(now time.Time) bool {
+	return !g.crowded.IsZero() && now.Sub(g.crowded) < pressedFor
+}
+
 // cold reports whether the backend server is held to a rate because it started
 // lately. A document that declares no rate holds it to none: such a server is
 // slower at first, which its measured work shows.
--- a/pollengate/gate.go
+++ b/pollengate/gate.go
@@ -97,6 +97,9 @@
 	starts  window
 	work    duration
 	silence silence
+	// crowded is when a request was last declined that could have been in time
+	// and that another gate had declined before.
+	crowded time.Time
 	swept   time.Time
 	// asked holds the flows that only the backend server can tell of, since a
 	// packet of them was delivered that this gate did not know.
--- a/pollengate/gate_test.go
+++ b/pollengate/gate_test.go
@@ -202,6 +202,26 @@
 	want(t, open(g, begun.Add(600*time.Millisecond), 99, 2, 9), pollengate.VerdictDeliver, "")
 }
 
+// TestBacklog replays the backlog after an outage: requests that waited it out
+// take no slot that newcomers are declined for.
+func TestBacklog(t *testing.T) {
+	g := ready(0, 0)
+	for i := range slots {
+		open(g, begun, uint16(i), 0, 0)
+	}
+	// A newcomer that another gate was too busy for is declined here as well.
+	want(t, open(g, begun, 50, 0, 1), pollengate.VerdictDecline, pollenkernel.RefusalSlots)
+	accept(g, begun, 0)
+	g.FromServer(begun, &pollenpacket.Packet{Flow: flow(0), Answer: true, Sequence: 501, Size: 10})
+	soon := begun.Add(49 * time.Millisecond)
+	want(t, open(g, soon, 51, 1, 0), pollengate.VerdictDecline, pollenkernel.RefusalSlots)
+	want(t, open(g, soon, 52, 0, 0), pollengate.VerdictDeliver, "")
+	accept(g, soon, 52)
+	g.FromServer(soon, &pollenpacket.Packet{Flow: flow(52), Answer: true, Sequence: 501, Size: 10})
+	// No newcomer was declined for a while.
+	want(t, open(g, begun.Add(50*time.Millisecond), 53, 1, 0), pollengate.VerdictDeliver, "")
+}
+
 // TestCopyOpenedElsewhere has a caller take the answer that another backend
 // server gave to a copy: this gate must not claim the flow.
 func TestCopyOpenedElsewhere(t *testing.T) {
--- a/pollengate/report.go
+++ b/pollengate/report.go
@@ -79,7 +79,7 @@
 func (g *Gate) Server(now time.Time) pollenpeer.Server {
 	cold := g.cold(now)
 	s := pollenpeer.Server{
-		Service: g.config.Service, State: g.State(now), Slots: g.report.Slots, Cold: cold,
+		Service: g.config.Service, State: g.State(now), Slots: g.report.Slots, Cold: cold, Starting: now.Before(g.coldUntil),
 		Running: g.running, Average: g.load.at1s(now), Flows: len(g.flows),
 	}
 	if cold {
--- a/pollennode/balancer.go
+++ b/pollennode/balancer.go
@@ -51,6 +51,8 @@
 	calls   map[uint64]chan pollenlink.Answer
 	// pending holds the last packet of each flow that is searched.
 	pending map[pollenpacket.Flow]pending
+	// held holds the last opening packet of each flow that cannot be placed yet.
+	held map[pollenpacket.Flow]pending
 }
 
 // NewBalancer returns a new Balancer that works with the parts.
@@ -60,6 +62,7 @@
 		base:  newBase(now, s, self, parts),
 		steer: pollensteer.New(pollensteer.Config{Domain: s.Domain, Begun: now, Seed: parts.Seed, Policy: parts.Policy}),
 		calls: map[uint64]chan pollenlink.Answer{}, pending: map[pollenpacket.Flow]pending{},
+		held: map[pollenpacket.Flow]pending{},
 	}
 	if s.Data != "" {
 		b.control = newControl(b, parts)
@@ -193,6 +196,7 @@
 	default:
 		b.malformed(now, from, len(message), string(kind))
 	}
+	b.release(now)
 }
 
 // hear takes a beat, and answers it when the peer waits for an answer or lacks
@@ -228,6 +232,7 @@
 
 // ownBeat returns the next beat. The lock is held.
 func (b *Balancer) ownBeat(now time.Time) pollenpeer.Beat {
+	b.table.Self().Uptime = now.Sub(b.began)
 	beat := b.table.Beat(now)
 	beat.Leader = b.leader
 	beat.Founder = b.founder
@@ -258,11 +263,16 @@
 		b.record.Change("peer lost", peerFields(&p))
 	}
 	b.steer.Sweep(now)
-	for f, p := range b.pending {
-		if now.Sub(p.at) >= pendingFor {
-			delete(b.pending, f)
-		}
-	}
+	b.steer.SetRestarted(b.table.Restarted(now))
+	for _, p := range b.steer.Gone(now) {
+		b.reset(&p)
+		b.metrics.Refused(pollenkernel.RefusalUnknownFlow)
+		b.logDecision(now, &p, &pollensteer.Decision{
+			Verdict: pollensteer.VerdictReset, Reason: pollenkernel.RefusalUnknownFlow,
+		}, pollenlink.Header{Revision: b.steer.Revision()})
+	}
+	forget(now, b.pending, pendingFor)
+	forget(now, b.held, heldFor)
 	b.nameFounder(now)
 	b.beat(now)
 	b.record.ReportLeft(now)
--- a/pollennode/carry.go
+++ b/pollennode/carry.go
@@ -18,13 +18,27 @@
 	at       time.Time
 }
 
-// Limits of pending packets.
+// Limits of pending and held packets.
 const (
+	// maxPending and maxHeld bound the packets of either kind; at 1.3 KB each
+	// they take less than a megabyte.
 	maxPending = 512
+	maxHeld    = 512
 	// pendingFor is longer than a search takes; the caller's own copy comes then.
 	pendingFor = 300 * time.Millisecond
+	// heldFor is the longest time between two copies of an opening packet.
+	heldFor = 400 * time.Millisecond
 )
 
+// forget drops packets that wait for longer than the time.
+func forget(now time.Time, packets map[pollenpacket.Flow]pending, after time.Duration) {
+	for f, p := range packets {
+		if now.Sub(p.at) >= after {
+			delete(packets, f)
+		}
+	}
+}
+
 // carryOut does what was decided on a packet.
 func (b *Balancer) carryOut(
 	now time.Time, p *pollenpacket.Packet, d *pollensteer.Decision, h pollenlink.Header, datagram []byte,
@@ -50,10 +64,45 @@
 		b.search(now, p, d, h, datagram)
 	case pollensteer.VerdictReset:
 		b.reset(p)
+	case pollensteer.VerdictHold:
+		b.hold(now, p, datagram)
 	case pollensteer.VerdictDrop:
 	}
 }
 
+// hold keeps an opening packet until a message tells this host more.
+func (b *Balancer) hold(now time.Time, p *pollenpacket.Packet, datagram []byte) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if _, known := b.held[p.Flow]; known || len(b.held) < maxHeld {
+		b.held[p.Flow] = pending{datagram: slices.Clone(datagram), at: now}
+	}
+}
+
+// release steers the held packets that can be placed by now.
+func (b *Balancer) release(now time.Time) {
+	type released struct {
+		packet   pollenpacket.Packet
+		decision pollensteer.Decision
+		datagram []byte
+	}
+	var ready []released
+	b.mu.Lock()
+	revision := b.steer.Revision()
+	for f, h := range b.held {
+		p, _ := b.settings.Format.Caller(h.datagram[pollenlink.HeaderSize:])
+		if d := b.steer.Steer(now, &p); d.Verdict != pollensteer.VerdictHold {
+			ready = append(ready, released{p, d, h.datagram})
+			delete(b.held, f)
+		}
+	}
+	b.mu.Unlock()
+	for i := range ready {
+		r := &ready[i]
+		b.carryOut(now, &r.packet, &r.decision, pollenlink.Header{Revision: revision}, r.datagram)
+	}
+}
+
 // search asks gates whether they hold the flow, and keeps its packet meanwhile.
 // A question is a twentieth of a packet, and a service may have many gates.
 func (b *Balancer) search(
--- a/pollenpeer/peer.go
+++ b/pollenpeer/peer.go
@@ -54,6 +54,8 @@
 	First bool
 	// Leaving is set once the process has begun its planned stop.
 	Leaving bool
+	// Uptime is how long the process had run when it sent the beat.
+	Uptime time.Duration
 	// Server is set for RoleGate.
 	Server Server
 }
@@ -66,6 +68,9 @@
 	Slots int
 	// Cold is set while it bears only a little load.
 	Cold bool
+	// Starting is set for some seconds after it started; it then holds no flow
+	// that is older.
+	Starting bool
 	// Room is the number of flows that a cold one may still take now.
 	Room int
 	// Running is the number of requests that are running or waiting there,
--- a/pollenpeer/table.go
+++ b/pollenpeer/table.go
@@ -291,3 +291,32 @@
 	}
 	return heard*isolatedShare < len(t.peers)
 }
+
+// restartSpan is longer than hosts take, one after the other, to come back when
+// the power does, and shorter than a backend server stays cold.
+const restartSpan = 2 * time.Second
+
+// Restarted reports whether every peer that is heard, this process included, has
+// just started, with its backend server if it has one: the whole system was
+// down, and nothing from before is left.
+func (t *Table) Restarted(now time.Time) bool {
+	gates := 0
+	for _, k := range t.peers {
+		age := now.Sub(k.Heard)
+		if age >= Fresh {
+			continue
+		}
+		switch k.Peer.Role {
+		case RoleGate:
+			gates++
+			if !k.Peer.Server.Starting {
+				return false
+			}
+		case RoleBalancer:
+			if k.Peer.Uptime+age >= restartSpan {
+				return false
+			}
+		}
+	}
+	return gates > 0
+}
--- a/pollenpeer/table_test.go
+++ b/pollenpeer/table_test.go
@@ -110,3 +110,34 @@
 		}
 	}
 }
+
+// TestRestarted tells the return of power from the restart of some processes.
+func TestRestarted(t *testing.T) {
+	server := func(n int, starting bool) *pollenpeer.Beat {
+		b := beat(n, 1)
+		b.Peer.Role = pollenpeer.RoleGate
+		b.Peer.Server = pollenpeer.Server{Service: "rings", State: pollenpeer.ServerReady, Starting: starting}
+		return b
+	}
+	running := beat(3, 1)
+	running.Peer.Uptime = 2 * time.Second
+	for name, c := range map[string]struct {
+		beats []*pollenpeer.Beat
+		want  bool
+	}{
+		"nobody is known":              {nil, false},
+		"no gate is known":             {[]*pollenpeer.Beat{beat(2, 1)}, false},
+		"all have started":             {[]*pollenpeer.Beat{beat(2, 1), server(4, true)}, true},
+		"a balancer ran on":            {[]*pollenpeer.Beat{running, server(4, true)}, false},
+		"a backend server ran on":      {[]*pollenpeer.Beat{beat(2, 1), server(4, true), server(5, false)}, false},
+		"a backend server is not seen": {[]*pollenpeer.Beat{beat(2, 1), server(4, false)}, false},
+	} {
+		tb := table()
+		for _, b := range c.beats {
+			tb.Hear(begun, b)
+		}
+		if got := tb.Restarted(begun); got != c.want {
+			t.Errorf("%s: restarted %t", name, got)
+		}
+	}
+}
--- a/pollensteer/balancer.go
+++ b/pollensteer/balancer.go
@@ -30,6 +30,8 @@
 	VerdictSearch Verdict = "search"
 	// VerdictReset ends the flow at the caller.
 	VerdictReset Verdict = "reset"
+	// VerdictHold keeps an opening packet until more is known.
+	VerdictHold Verdict = "hold"
 	// VerdictDrop leaves the packet to the caller's retransmission.
 	VerdictDrop Verdict = "drop"
 )
@@ -69,8 +71,8 @@
 
 // settleTime is how long after its start a balancer cannot know that no server
 // takes a flow: gates and balancers that start together find each other within
-// it. Until then an opening packet is left to the caller's copies, which come
-// after 200 and 600 ms, since a reset would use up one of its few retries.
+// it. Until then an opening packet is held, since a reset would use up one of
+// its caller's few retries.
 const settleTime = 1200 * time.Millisecond
 
 // maxHops bounds the gates that an opening packet is passed to, so that it
@@ -109,6 +111,10 @@
 	services map[pollendocument.ServiceName][]*gate
 	hints    map[key]hint
 	swept    time.Time
+	// restarted is set while every known peer has just started.
+	restarted bool
+	// settled is set once Gone has found every gate known.
+	settled bool
 	// list is the memory of Decision.Gates.
 	list []netip.AddrPort
 }
@@ -126,6 +132,9 @@
 	wide bool
 	// absent holds the gates that were searched and do not hold the flow.
 	absent []*gate
+	// declined has the bit of each copy of the opening packet that came back from
+	// busy gates only.
+	declined uint8
 }
 
 type route struct {
@@ -228,12 +237,12 @@
 // Steer decides on a packet that came from a caller.
 func (b *Balancer) Steer(now time.Time, p *pollenpacket.Packet) Decision {
 	if b.revision == 0 {
-		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalStale}
+		return wait(p, pollenkernel.RefusalStale)
 	}
 	r, ok := b.routes[p.Flow.Service]
 	if !ok && now.Sub(b.config.Begun) < settleTime {
 		// The view that a host finds on its disk may lack the newest routes.
-		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalNoRoute}
+		return wait(p, pollenkernel.RefusalNoRoute)
 	}
 	if !ok {
 		return refuse(p, pollenkernel.RefusalNoRoute)
@@ -255,6 +264,16 @@
 	return Decision{Verdict: VerdictPass, Gate: h.gate.address}
 }
 
+// wait holds an opening packet that a balancer which has just started cannot
+// place yet. It answers the restart of all at once: most balancers lack a view
+// or gates for a fraction of the time between two copies.
+func wait(p *pollenpacket.Packet, why pollenkernel.Refusal) Decision {
+	if p.Opening() {
+		return Decision{Verdict: VerdictHold, Reason: why}
+	}
+	return Decision{Verdict: VerdictDrop, Reason: why}
+}
+
 // refuse resets a flow, except for a copy of an opening packet: an earlier one
 // may just have opened the flow, and the reset would end it.
 func refuse(p *pollenpacket.Packet, why pollenkernel.Refusal) Decision {
@@ -277,25 +296,25 @@
 		return Decision{Verdict: VerdictPass, Gate: h.gate.address, Service: ServiceHash(h.gate.server.Service)}
 	}
 	if !known {
-		return b.place(now, k, r, p, nil)
+		return b.place(now, k, r, p, h, nil)
 	}
-	d := b.place(now, k, r, p, h.gate)
+	d := b.place(now, k, r, p, h, h.gate)
 	d.Retry = pollenkernel.RetryOpening
 	return d
 }
 
-// place chooses a gate for a new flow.
-func (b *Balancer) place(now time.Time, k key, r *route, p *pollenpacket.Packet, without *gate) Decision {
+// place chooses a gate for a new flow, of which h is known.
+func (b *Balancer) place(now time.Time, k key, r *route, p *pollenpacket.Packet, h hint, without *gate) Decision {
 	g := b.choose(now, k, r, without)
 	if g == nil && now.Sub(b.config.Begun) < settleTime {
-		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalNotReady}
+		return wait(p, pollenkernel.RefusalNotReady)
 	}
 	if g == nil {
 		return refuse(p, pollenkernel.RefusalNoMember)
 	}
 	load, age := g.load(), now.Sub(g.heard)
 	g.sent++
-	b.remember(k, hint{gate: g, used: now})
+	b.remember(k, hint{gate: g, used: now, declined: h.declined})
 	return Decision{
 		Verdict: VerdictPass, Gate: g.address, Service: ServiceHash(g.server.Service),
 		Chosen: true, Load: load, Age: age,
@@ -323,13 +342,29 @@
 		decliner.learn(h.Reason)
 	}
 	if h.Reason == pollenkernel.RefusalSlots && h.Hops >= busyHops {
-		delete(b.hints, k)
-		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalSlots}
+		return b.allBusy(now, k, p, known)
 	}
 	if h.Hops >= maxHops {
 		return refuse(p, pollenkernel.RefusalHopLimit)
 	}
-	return b.place(now, k, r, p, decliner)
+	return b.place(now, k, r, p, known, decliner)
+}
+
+// everyCopy has the bits of the opening packet and its copies.
+const everyCopy = 1<<(resendCopy+1) - 1
+
+// allBusy decides on an opening packet that would be late at every gate that was
+// asked. It is left to its next copy; the last has none, and its caller is told
+// at once instead of waiting for its own timeout. That needs all of them to have
+// come back here, since a server may have taken one that did not.
+func (b *Balancer) allBusy(now time.Time, k key, p *pollenpacket.Packet, known hint) Decision {
+	declined := known.declined | 1<<min(p.Acknowledged, resendCopy)
+	if declined == everyCopy {
+		delete(b.hints, k)
+		return Decision{Verdict: VerdictReset, Reason: pollenkernel.RefusalSlots}
+	}
+	b.remember(k, hint{used: now, declined: declined})
+	return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalSlots}
 }
 
 // learn corrects what is believed of a gate by its reason for declining, until
--- a/pollensteer/balancer_test.go
+++ b/pollensteer/balancer_test.go
@@ -119,17 +119,77 @@
 // few retries, so nothing is reset that a moment later would be served.
 func TestRestart(t *testing.T) {
 	b := pollensteer.New(pollensteer.Config{Domain: "a", Begun: begun, Seed: 1})
-	want(t, b.Steer(begun, opening(1, 0)), pollensteer.VerdictDrop, pollenkernel.RefusalStale)
+	want(t, b.Steer(begun, opening(1, 0)), pollensteer.VerdictHold, pollenkernel.RefusalStale)
+	want(t, b.Steer(begun, packet(1)), pollensteer.VerdictDrop, pollenkernel.RefusalStale)
 	b.SetView(view(1))
 	soon := begun.Add(300 * time.Millisecond)
-	want(t, b.Steer(soon, opening(1, 0)), pollensteer.VerdictDrop, pollenkernel.RefusalNotReady)
+	want(t, b.Steer(soon, opening(1, 0)), pollensteer.VerdictHold, pollenkernel.RefusalNotReady)
 	unknown := opening(1, 0)
 	unknown.Flow.Service = netip.MustParseAddrPort("198.51.100.9:1")
-	want(t, b.Steer(soon, unknown), pollensteer.VerdictDrop, pollenkernel.RefusalNoRoute)
+	want(t, b.Steer(soon, unknown), pollensteer.VerdictHold, pollenkernel.RefusalNoRoute)
 	want(t, b.Steer(settled, opening(1, 0)), pollensteer.VerdictReset, pollenkernel.RefusalNoMember)
 	want(t, b.Steer(settled, unknown), pollensteer.VerdictReset, pollenkernel.RefusalNoRoute)
 }
 
+// restarting returns a Balancer that started with its three gates.
+func restarting() *pollensteer.Balancer {
+	b := pollensteer.New(pollensteer.Config{Domain: "a", Begun: begun, Seed: 1})
+	b.SetView(view(1))
+	b.SetGate(begun, gate(1, "rings"))
+	b.SetGate(begun, gate(2, "rings"))
+	b.SetGate(begun, gate(3, "sheets"))
+	return b
+}
+
+// searchAll has every gate say that it does not hold the flow, and returns the
+// last decision.
+func searchAll(b *pollensteer.Balancer, now time.Time, p *pollenpacket.Packet) pollensteer.Decision {
+	b.Steer(now, p)
+	var d pollensteer.Decision
+	for n := 1; n <= 3; n++ {
+		d = b.Absent(now, address(n), p)
+	}
+	return d
+}
+
+// TestPowerReturns replays the return of power: callers go on with flows whose
+// backend servers are new, and are told so at once.
+func TestPowerReturns(t *testing.T) {
+	soon := begun.Add(300 * time.Millisecond)
+	b := restarting()
+	want(t, searchAll(b, soon, packet(1)), pollensteer.VerdictDrop, pollenkernel.RefusalUnknownFlow)
+	b.SetRestarted(true)
+	want(t, searchAll(b, soon, packet(2)), pollensteer.VerdictReset, pollenkernel.RefusalUnknownFlow)
+	// Peers that did not restart may not have answered yet.
+	b = restarting()
+	b.SetRestarted(true)
+	want(t, searchAll(b, begun.Add(299*time.Millisecond), packet(1)), pollensteer.VerdictDrop, pollenkernel.RefusalUnknownFlow)
+}
+
+// TestSearchEndedTooEarly has every gate answer before the balancer can know
+// that there are no others.
+func TestSearchEndedTooEarly(t *testing.T) {
+	b := restarting()
+	soon := begun.Add(300 * time.Millisecond)
+	searchAll(b, soon, packet(1))
+	searchAll(b, soon, packet(2))
+	b.Steer(soon, opening(3, 0))
+	// The retransmission finds no gate left to ask.
+	want(t, b.Steer(begun.Add(time.Second), packet(1)), pollensteer.VerdictDrop, pollenkernel.RefusalUnknownFlow)
+	if gone := b.Gone(begun.Add(time.Second)); len(gone) != 0 {
+		t.Fatalf("flows %v are taken for gone while gates may be unknown", gone)
+	}
+	later := begun.Add(2 * time.Second)
+	want(t, b.Steer(later, packet(1)), pollensteer.VerdictReset, pollenkernel.RefusalUnknownFlow)
+	gone := b.Gone(later)
+	if len(gone) != 1 || gone[0].Flow != packet(2).Flow || gone[0].Acknowledged != packet(2).Acknowledged {
+		t.Fatalf("gone: %v; want the other flow that was searched", gone)
+	}
+	if gone = b.Gone(later); len(gone) != 0 {
+		t.Fatalf("told twice: %v", gone)
+	}
+}
+
 func TestSearchFindsTheHolder(t *testing.T) {
 	b := balancer()
 	d := b.Steer(settled, packet(1))
@@ -236,6 +296,29 @@
 	}
 }
 
+// TestLastCopyIsRefused replays a wave in which every gate stays busy: after the
+// last copy of an opening packet its caller is told at once that nothing ran.
+func TestLastCopyIsRefused(t *testing.T) {
+	busy := pollenlink.Header{Kind: pollenlink.KindDeclined, Reason: pollenkernel.RefusalSlots, Hops: 3}
+	b := balancer()
+	for copies := range uint32(3) {
+		d := b.Steer(settled, opening(1, copies))
+		verdict := pollensteer.VerdictDrop
+		if copies == 2 {
+			verdict = pollensteer.VerdictReset
+		}
+		want(t, b.Declined(settled, d.Gate, busy, opening(1, copies)), verdict, pollenkernel.RefusalSlots)
+	}
+	// One copy did not come back: a backend server may have taken it.
+	b = balancer()
+	for copies := range uint32(3) {
+		d := b.Steer(settled, opening(1, copies))
+		if copies != 1 {
+			want(t, b.Declined(settled, d.Gate, busy, opening(1, copies)), pollensteer.VerdictDrop, pollenkernel.RefusalSlots)
+		}
+	}
+}
+
 // TestReusedAddress has the address of a gate go to another service.
 func TestReusedAddress(t *testing.T) {
 	b := balancer()
--- a/pollensteer/search.go
+++ b/pollensteer/search.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pollenstep.example/pollenstep/pollenkernel"
+	"pollenstep.example/pollenstep/pollenlink"
 	"pollenstep.example/pollenstep/pollenpacket"
 	"pollenstep.example/pollenstep/pollenpeer"
 )
@@ -30,7 +31,7 @@
 	h.gate, h.used = nil, now
 	b.remember(k, h)
 	if len(b.list) == 0 {
-		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalUnknownFlow}
+		return b.searched(now, k, h)
 	}
 	return Decision{Verdict: VerdictSearch, Reason: pollenkernel.RefusalUnknownFlow, Gates: b.list}
 }
@@ -47,6 +48,22 @@
 // lives: gates send beats to every balancer, and some may be lost.
 const surelyKnown = 5 * pollenpeer.Interval
 
+// restartKnown is how long after its start a balancer knows whether the whole
+// system has just started: old peers answer its first beats within it.
+const restartKnown = 300 * time.Millisecond
+
+// SetRestarted records whether every known peer has just started. Backend
+// servers that have just started hold no older flows, so gates that are still
+// missing need not be waited for. It answers the return of power: callers go on
+// with flows that are gone.
+func (b *Balancer) SetRestarted(restarted bool) { b.restarted = restarted }
+
+// knowsGates reports whether no gate that may hold a flow is unknown.
+func (b *Balancer) knowsGates(now time.Time) bool {
+	age := now.Sub(b.config.Begun)
+	return age >= surelyKnown || (b.restarted && age >= restartKnown)
+}
+
 // Absent records that a gate does not hold the flow of a packet. If it was taken
 // for the holder, the others are searched. When every known gate was searched in
 // vain, the flow is gone, and its caller is told at once instead of waiting for
@@ -75,13 +92,38 @@
 			return d
 		}
 	}
-	if !b.everyGateAbsent(now, h.absent) || now.Sub(b.config.Begun) < surelyKnown {
+	return b.searched(now, k, h)
+}
+
+// searched decides on a flow once no gate is left to ask.
+func (b *Balancer) searched(now time.Time, k key, h hint) Decision {
+	if !b.knowsGates(now) || !b.everyGateAbsent(now, h.absent) {
 		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalUnknownFlow}
 	}
 	delete(b.hints, k)
 	return Decision{Verdict: VerdictReset, Reason: pollenkernel.RefusalUnknownFlow}
 }
 
+// Gone returns the flows that every gate says it does not hold, once, when the
+// balancer begins to know every gate: their callers would otherwise wait for
+// their next retransmission.
+func (b *Balancer) Gone(now time.Time) []pollenpacket.Packet {
+	if b.settled || !b.knowsGates(now) {
+		return nil
+	}
+	b.settled = true
+	var gone []pollenpacket.Packet
+	for k, h := range b.hints {
+		if h.gate != nil || len(h.absent) == 0 || b.searched(now, k, h).Verdict != VerdictReset {
+			continue
+		}
+		if f, ok := pollenlink.ReadFlow(k[:]); ok {
+			gone = append(gone, pollenpacket.Packet{Flow: f, Answer: true, Acknowledged: h.acknowledged})
+		}
+	}
+	return gone
+}
+
 // AbsentFlow is Absent for a gate that does not send the packet back. It sets
 // what the caller acknowledged last.
 func (b *Balancer) AbsentFlow(now time.Time, from netip.AddrPort, p *pollenpacket.Packet) Decision {
--- a/pollenwire/peer.go
+++ b/pollenwire/peer.go
@@ -24,6 +24,7 @@
 	boolean(c, &p.Disk)
 	boolean(c, &p.First)
 	boolean(c, &p.Leaving)
+	signed(c, &p.Uptime)
 	if p.Role != pollenpeer.RoleGate {
 		return
 	}
@@ -31,6 +32,7 @@
 	text(c, &p.Server.State)
 	signed(c, &p.Server.Slots)
 	boolean(c, &p.Server.Cold)
+	boolean(c, &p.Server.Starting)
 	signed(c, &p.Server.Room)
 	signed(c, &p.Server.Running)
 	float(c, &p.Server.Average)
