Bound the searches of flows by the link; know flows after the return of power

Cause: after a power loss every packet of an old flow was searched at every gate, by hosts on links of 3.7 Mbit/s. Callers that had given up sent FIN for seconds, each searched as well. Gates could not say that they knew every flow and asked for the packets. Every balancer sent views to every gate that lagged, each 150 ms.

Change: questions take 0.4 of the link at most, half of that for packets that close; gates that were asked are given 150 ms; a gate whose server started together with it, by what the server says of its cold start, knows every flow; balancers other than the nearest send views to laggards each 600 ms.

--- a/pollendocument/declaration.go
+++ b/pollendocument/declaration.go
@@ -53,6 +53,8 @@
 	// ColdRate is the number of requests a second that a backend server in a
 	// cold start bears.
 	ColdRate float64
+	// ColdTime is how long a backend server stays cold after its start.
+	ColdTime time.Duration
 }
 
 // A Declaration is a document that is kept and versioned elsewhere and taken as
--- a/pollengate/gate.go
+++ b/pollengate/gate.go
@@ -82,7 +82,11 @@
 
 	// complete is set if the gate has seen every flow of its backend server.
 	complete bool
-	report   Report
+	// first is when the first report came, in which the backend server said that
+	// it stays cold for firstCold.
+	first     time.Time
+	firstCold time.Duration
+	report    Report
 	// reported is when the last report came; zero before the first.
 	reported time.Time
 	// coldUntil is when the backend server bears its full load.
--- a/pollengate/gate_test.go
+++ b/pollengate/gate_test.go
@@ -243,6 +243,34 @@
 	}
 }
 
+// TestGateStartedWithItsServer tells the return of power, after which no older
+// flow is left, from the restart of a gate alone.
+func TestGateStartedWithItsServer(t *testing.T) {
+	for name, c := range map[string]struct {
+		cold time.Duration
+		at   time.Duration
+		want pollengate.Verdict
+	}{
+		"together":              {1950 * time.Millisecond, 20 * time.Millisecond, pollengate.VerdictAbsent},
+		"server later":          {1990 * time.Millisecond, 500 * time.Millisecond, pollengate.VerdictAbsent},
+		"server before":         {1900 * time.Millisecond, 0, pollengate.VerdictUnsure},
+		"server long before":    {100 * time.Millisecond, 20 * time.Millisecond, pollengate.VerdictUnsure},
+		"server is not cold":    {0, 20 * time.Millisecond, pollengate.VerdictUnsure},
+		"longer than it may be": {2100 * time.Millisecond, 20 * time.Millisecond, pollengate.VerdictUnsure},
+	} {
+		g := pollengate.New(begun, pollengate.Config{Domain: "a", Service: "rings", Bounds: pollengate.Bounds{ReportInterval: time.Second}})
+		v := view(1, 0)
+		v.Declared.Pools[0].ColdTime = 2 * time.Second
+		g.SetView(v)
+		r := report(pollenpeer.ServerReady, 3)
+		r.Cold = c.cold
+		g.Report(begun.Add(c.at), r)
+		if d := g.Query(begun.Add(c.at), flow(1), 7); d.Verdict != c.want {
+			t.Errorf("%s: %s; want %s", name, d.Verdict, c.want)
+		}
+	}
+}
+
 // TestRestartedGate takes over a backend server with open flows.
 func TestRestartedGate(t *testing.T) {
 	g := ready(0, 0)
--- a/pollengate/report.go
+++ b/pollengate/report.go
@@ -37,8 +37,12 @@
 		g.load.set(now, 0)
 		g.complete = true
 	}
-	if g.reported.IsZero() && r.Sequence == firstSequence {
-		g.complete = true
+	if g.reported.IsZero() {
+		g.complete = g.complete || r.Sequence == firstSequence
+		g.firstCold = r.Cold
+	}
+	if g.first.IsZero() {
+		g.first = now
 	}
 	g.report, g.reported = r, now
 	g.coldUntil = now.Add(r.Cold)
--- a/pollengate/search.go
+++ b/pollengate/search.go
@@ -27,7 +27,7 @@
 // opened before this process started.
 func (g *Gate) mayHoldUnknown(now time.Time) bool {
 	age := now.Sub(g.begun)
-	if g.complete {
+	if g.complete || g.startedTogether() {
 		return false
 	}
 	if g.reported.IsZero() && age >= firstReports*g.config.Bounds.ReportInterval {
@@ -63,3 +63,19 @@
 	}
 	return Decision{Verdict: VerdictAbsent, Reason: pollenkernel.RefusalUnknownFlow, Balancer: q.balancer}
 }
+
+// restartTime is shorter than any process takes to come back after it was
+// killed.
+const restartTime = 100 * time.Millisecond
+
+// startedTogether reports whether the backend server started so shortly before
+// this process, or after it, that no earlier gate can have opened a flow there:
+// the power was away from both. What the server says of its cold start tells its
+// age.
+func (g *Gate) startedTogether() bool {
+	if g.first.IsZero() || g.firstCold <= 0 || g.pool.ColdTime < g.firstCold {
+		return false
+	}
+	started := g.first.Add(g.firstCold - g.pool.ColdTime)
+	return started.After(g.begun.Add(-restartTime))
+}
--- a/pollennode/balancer.go
+++ b/pollennode/balancer.go
@@ -60,7 +60,7 @@
 	self := pollenpeer.Peer{Role: pollenpeer.RoleBalancer, Disk: s.Data != "", First: s.First}
 	b := &Balancer{
 		base:  newBase(now, s, self, parts),
-		steer: pollensteer.New(pollensteer.Config{Domain: s.Domain, Begun: now, Seed: parts.Seed, Policy: parts.Policy}),
+		steer: pollensteer.New(pollensteer.Config{Domain: s.Domain, Begun: now, Seed: parts.Seed, Policy: parts.Policy, Link: s.Link}),
 		calls: map[uint64]chan pollenlink.Answer{}, pending: map[pollenpacket.Flow]pending{},
 		held: map[pollenpacket.Flow]pending{},
 	}
--- a/pollennode/base.go
+++ b/pollennode/base.go
@@ -138,7 +138,7 @@
 	if p.Revision == 0 {
 		near = nearestAtStart
 	}
-	if b.table.Nearest(p.Address, near) || now.Sub(since) >= laggardAfter {
+	if b.table.Nearest(p.Address, near) || (now.Sub(since) >= laggardAfter && now.Sub(b.updated[p.Address]) >= laggardAfter) {
 		b.sendUpdates(now, *p)
 	}
 }
--- a/pollennode/settings.go
+++ b/pollennode/settings.go
@@ -39,6 +39,9 @@
 	Server   netip.AddrPort
 	Outbound netip.AddrPort
 	Bounds   pollengate.Bounds
+	// Link is what the host's link carries, in bits a second; zero means that it
+	// is not known.
+	Link float64
 	// Metrics serves counters and histograms over HTTP; the zero value turns
 	// it off.
 	Metrics netip.AddrPort
--- a/pollensteer/balancer.go
+++ b/pollensteer/balancer.go
@@ -92,6 +92,9 @@
 	Begun time.Time
 	// Seed makes the choices repeatable.
 	Seed uint64
+	// Link is what the host's link carries, in bits a second; zero means that it
+	// is not known.
+	Link float64
 	// Policy chooses the gates of new flows; the default is PolicyTwoChoices.
 	Policy PolicyName
 }
@@ -113,6 +116,7 @@
 	swept    time.Time
 	// restarted is set while every known peer has just started.
 	restarted bool
+	budget    budget
 	// settled is set once Gone has found every gate known.
 	settled bool
 	// list is the memory of Decision.Gates.
@@ -130,6 +134,8 @@
 	acknowledged uint32
 	// wide is set once every gate was asked, not only those of the route.
 	wide bool
+	// asked is when the gates that are not in absent were last asked.
+	asked time.Time
 	// absent holds the gates that were searched and do not hold the flow.
 	absent []*gate
 	// declined has the bit of each copy of the opening packet that came back from
@@ -166,7 +172,7 @@
 		panic(err)
 	}
 	return &Balancer{
-		config: config, policy: policy, random: rand.New(rand.NewPCG(config.Seed, 1)),
+		config: config, policy: policy, budget: newBudget(config.Begun, config.Link), random: rand.New(rand.NewPCG(config.Seed, 1)),
 		routes: map[netip.AddrPort]*route{}, gates: map[netip.AddrPort]*gate{},
 		services: map[pollendocument.ServiceName][]*gate{}, hints: map[key]hint{},
 	}
@@ -257,7 +263,7 @@
 	}
 	if !known {
 		h.acknowledged = p.Acknowledged
-		return b.search(now, k, r, h)
+		return b.search(now, k, r, h, urgent(p))
 	}
 	h.used = now
 	b.hints[k] = h
--- a/pollensteer/search.go
+++ b/pollensteer/search.go
@@ -12,10 +12,14 @@
 	"pollenstep.example/pollenstep/pollenpeer"
 )
 
+// urgent reports whether a caller waits for what comes of a packet. One that
+// closes its flow does not, but repeats the packet for seconds.
+func urgent(p *pollenpacket.Packet) bool { return !p.Finish && !p.Reset }
+
 // search sends the packet to the gates that may hold its flow: first those of
 // the route's services, then every one, since the route may have had other
 // services when the flow was opened.
-func (b *Balancer) search(now time.Time, k key, r *route, h hint) Decision {
+func (b *Balancer) search(now time.Time, k key, r *route, h hint, urgent bool) Decision {
 	b.list = b.list[:0]
 	if !h.wide {
 		for _, s := range r.Shares {
@@ -33,6 +37,14 @@
 	if len(b.list) == 0 {
 		return b.searched(now, k, h)
 	}
+	if now.Sub(h.asked) < askAgain {
+		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalUnknownFlow}
+	}
+	if !b.budget.take(now, len(b.list), urgent) {
+		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalSearchLimit}
+	}
+	h.asked = now
+	b.hints[k] = h
 	return Decision{Verdict: VerdictSearch, Reason: pollenkernel.RefusalUnknownFlow, Gates: b.list}
 }
 
@@ -79,7 +91,7 @@
 	if h.gate == g {
 		h = hint{absent: []*gate{g}, acknowledged: p.Acknowledged, used: now}
 		b.hints[k] = h
-		return b.search(now, k, r, h)
+		return b.search(now, k, r, h, urgent(p))
 	}
 	if h.gate != nil && !h.gate.gone {
 		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalUnknownFlow}
@@ -87,8 +99,8 @@
 	h.absent = append(slices.Clip(h.absent), g)
 	b.hints[k] = h
 	if !h.wide && b.allAbsent(now, r, h.absent) {
-		h.wide = true
-		if d := b.search(now, k, r, h); d.Verdict == VerdictSearch {
+		h.wide, h.asked = true, time.Time{}
+		if d := b.search(now, k, r, h, urgent(p)); d.Verdict == VerdictSearch {
 			return d
 		}
 	}
--- a/pollenwire/view.go
+++ b/pollenwire/view.go
@@ -130,6 +130,7 @@
 		text(c, &p.Name)
 		signed(c, &p.Connections)
 		float(c, &p.ColdRate)
+		duration(c, &p.ColdTime)
 	})
 	duration(c, &d.Idle)
 	blob(c, &d.Source)
