Avoid backend servers whose answers fail

Cause: servers that answer some requests with errors or resets while they report that they are well got their full share of new flows.

Change: gates read how answers begin and keep the mean of failed ones; from 0.22 on new flows are passed on, twice at most, and balancers take such a server only before another that fails. The mean halves every 2 s without answers, so that the server is tried again.

--- a/pollengate/admit.go
+++ b/pollengate/admit.go
@@ -34,6 +34,9 @@
 	if late && g.pressed(now) {
 		return Decision{Verdict: VerdictDecline, Reason: pollenkernel.RefusalSlots, Opened: true, Wait: wait}
 	}
+	if h.Hops < lastHop && g.failed.failing(now) {
+		return Decision{Verdict: VerdictDecline, Reason: pollenkernel.RefusalBackendFailed, Opened: true, Wait: wait}
+	}
 	if h.Hops < lastHop && g.running >= g.slots() {
 		if h.Hops > 0 && !late {
 			g.crowded = now
--- a/pollengate/gate.go
+++ b/pollengate/gate.go
@@ -101,6 +101,7 @@
 	starts  window
 	work    duration
 	silence silence
+	failed  failures
 	// crowded is when a request was last declined that could have been in time
 	// and that another gate had declined before.
 	crowded time.Time
@@ -193,8 +194,11 @@
 	delete(g.asked, p.Flow)
 	f.used = now
 	f.followServer(p)
-	if p.Size > 0 && f.stage == stageRunning {
-		g.work.add(now.Sub(f.since))
+	if f.stage == stageRunning && (p.Size > 0 || p.Reset) {
+		g.failed.add(now, p.Failed || p.Reset)
+		if !p.Failed && !p.Reset {
+			g.work.add(now.Sub(f.since))
+		}
 	}
 	if p.Size > 0 {
 		g.setStage(now, f, stageIdle)
--- a/pollengate/gate_test.go
+++ b/pollengate/gate_test.go
@@ -271,6 +271,48 @@
 	}
 }
 
+// TestFailingServer has a server answer with failures while it reports that it
+// is well.
+func TestFailingServer(t *testing.T) {
+	g := ready(0, 0)
+	answer := func(now time.Time, port uint16, p pollenpacket.Packet) {
+		open(g, now, port, 0, 9)
+		accept(g, now, port)
+		pass(g, now, port, pollenlink.KindPass, 501, 10)
+		p.Flow, p.Answer, p.Sequence = flow(port), true, 501
+		g.FromServer(now, &p)
+	}
+	// taken opens a flow that the server then refuses, so that it takes no slot.
+	taken := func(now time.Time, port uint16, hops uint8) {
+		t.Helper()
+		want(t, open(g, now, port, 0, hops), pollengate.VerdictDeliver, "")
+		g.FromServer(now, &pollenpacket.Packet{Flow: flow(port), Answer: true, Reset: true})
+	}
+	for i := range uint16(3) {
+		answer(begun, i, pollenpacket.Packet{Size: 10, Failed: true})
+	}
+	taken(begun, 100, 0)
+	answer(begun, 4, pollenpacket.Packet{Size: 10, Failed: true})
+	if !g.Server(begun).Failing {
+		t.Fatal("four failures in a row; the server is not taken for failing")
+	}
+	want(t, open(g, begun, 101, 0, 0), pollengate.VerdictDecline, pollenkernel.RefusalBackendFailed)
+	// The gates before were no better.
+	taken(begun, 102, 2)
+	// Nothing was answered since: the server is tried again.
+	taken(begun.Add(time.Second), 103, 0)
+	later := begun.Add(10 * time.Second)
+	g.Report(later, report(pollenpeer.ServerReady, 2))
+	for i := range uint16(4) {
+		answer(later, 200+i, pollenpacket.Packet{Reset: true})
+	}
+	want(t, open(g, later, 300, 0, 0), pollengate.VerdictDecline, pollenkernel.RefusalBackendFailed)
+	for i := range uint16(8) {
+		answer(later, 400+i, pollenpacket.Packet{Size: 10})
+	}
+	taken(later, 500, 0)
+}
+
 // TestRestartedGate takes over a backend server with open flows.
 func TestRestartedGate(t *testing.T) {
 	g := ready(0, 0)
--- a/pollengate/report.go
+++ b/pollengate/report.go
@@ -35,6 +35,7 @@
 		clear(g.flows)
 		g.running = 0
 		g.load.set(now, 0)
+		g.failed = failures{}
 		g.complete = true
 	}
 	if g.reported.IsZero() {
@@ -84,7 +85,7 @@
 	cold := g.cold(now)
 	s := pollenpeer.Server{
 		Service: g.config.Service, State: g.State(now), Slots: g.report.Slots, Cold: cold, Starting: now.Before(g.coldUntil),
-		Running: g.running, Average: g.load.at1s(now), Flows: len(g.flows),
+		Running: g.running, Average: g.load.at1s(now), Failing: g.failed.failing(now), Flows: len(g.flows),
 	}
 	if cold {
 		s.Room = g.coldRoom(now)
--- a/pollenlink/frame.go
+++ b/pollenlink/frame.go
@@ -125,7 +125,7 @@
 	pollenkernel.RefusalNone, pollenkernel.RefusalUnknownFlow, pollenkernel.RefusalWrongService,
 	pollenkernel.RefusalNoRoute, pollenkernel.RefusalDraining, pollenkernel.RefusalDomainOut,
 	pollenkernel.RefusalColdLimit, pollenkernel.RefusalServerSilent, pollenkernel.RefusalNotReady,
-	pollenkernel.RefusalSlots, pollenkernel.RefusalConnectionLimit,
+	pollenkernel.RefusalSlots, pollenkernel.RefusalConnectionLimit, pollenkernel.RefusalBackendFailed,
 }
 
 func codeOf(why pollenkernel.Refusal) byte {
--- a/pollenpacket/packet.go
+++ b/pollenpacket/packet.go
@@ -26,6 +26,10 @@
 	// opening packet of a caller, Acknowledged counts its earlier copies.
 	Sequence     uint32
 	Acknowledged uint32
+	// Failed is set on a packet of a backend server whose bytes begin like an
+	// answer that says that the server failed. It means something only for the
+	// first packet after a request.
+	Failed bool
 	// Size is the number of bytes of the stream that the packet carries.
 	Size int
 	// Mark is what the node that passed the packet on wrote into it.
--- a/pollenpeer/peer.go
+++ b/pollenpeer/peer.go
@@ -78,6 +78,8 @@
 	Running int
 	// Average is Running, averaged over the last second.
 	Average float64
+	// Failing is set while many of its answers say that it failed.
+	Failing bool
 	// Flows is the number of open flows.
 	Flows int
 }
--- a/pollensteer/balancer.go
+++ b/pollensteer/balancer.go
@@ -383,6 +383,8 @@
 		g.server.State = pollenpeer.ServerSilent
 	case pollenkernel.RefusalColdLimit:
 		g.server.Cold, g.server.Room = true, 0
+	case pollenkernel.RefusalBackendFailed:
+		g.server.Failing = true
 	case pollenkernel.RefusalSlots:
 		g.sent += max(1, g.server.Slots)
 	}
--- a/pollensteer/balancer_test.go
+++ b/pollensteer/balancer_test.go
@@ -319,6 +319,42 @@
 	}
 }
 
+// TestFailingServerIsAvoided has servers fail: they are taken only where no
+// other is.
+func TestFailingServerIsAvoided(t *testing.T) {
+	b := balancer()
+	failing := gate(1, "rings")
+	failing.Server.Failing = true
+	busy := gate(2, "rings")
+	busy.Server.Running, busy.Server.Average = 9, 9
+	b.SetGate(settled, failing)
+	b.SetGate(settled, busy)
+	for i := range uint16(50) {
+		if d := b.Steer(settled, opening(i, 0)); d.Gate != address(2) {
+			t.Fatalf("flow opened at %s, whose server fails", d.Gate)
+		}
+	}
+	busy.Server.Failing = true
+	b.SetGate(settled, busy)
+	b.SetGate(settled, failing)
+	if d := b.Steer(settled, opening(100, 0)); d.Gate != address(1) {
+		t.Fatalf("flow opened at %s; both servers fail, and the other has less to do", d.Gate)
+	}
+	// A gate that declines is not drawn again while another is well.
+	b.SetGate(settled, gate(1, "rings"))
+	b.SetGate(settled, gate(2, "rings"))
+	b.SetGate(settled, gate(4, "rings"))
+	h := pollenlink.Header{Kind: pollenlink.KindDeclined, Reason: pollenkernel.RefusalBackendFailed, Hops: 1}
+	d := b.Steer(settled, opening(200, 0))
+	failed := d.Gate
+	want(t, b.Declined(settled, failed, h, opening(200, 0)), pollensteer.VerdictPass, "")
+	for i := range uint16(50) {
+		if d := b.Steer(settled, opening(300+i, 0)); d.Gate == failed {
+			t.Fatalf("flow opened at %s, which declined", d.Gate)
+		}
+	}
+}
+
 // TestReusedAddress has the address of a gate go to another service.
 func TestReusedAddress(t *testing.T) {
 	b := balancer()
--- a/pollensteer/policy.go
+++ b/pollensteer/policy.go
@@ -96,8 +96,17 @@
 	return best
 }
 
-// lighter returns the gate with less unfinished work for each slot.
+// lighter returns the gate with less unfinished work for each slot. A backend
+// server that fails is taken only before another one that does: it answers
+// backend servers whose health says nothing of their answers, and leaves no
+// service without one however many fail.
 func lighter(a, b *gate) *gate {
+	if a.server.Failing != b.server.Failing {
+		if a.server.Failing {
+			return b
+		}
+		return a
+	}
 	if b.load()/float64(max(1, b.server.Slots)) < a.load()/float64(max(1, a.server.Slots)) {
 		return b
 	}
--- a/pollenwire/peer.go
+++ b/pollenwire/peer.go
@@ -36,6 +36,7 @@
 	signed(c, &p.Server.Room)
 	signed(c, &p.Server.Running)
 	float(c, &p.Server.Average)
+	boolean(c, &p.Server.Failing)
 	signed(c, &p.Server.Flows)
 }
 
