Open flows at gates that they hash to; ask those first in searches

Cause: when all processes were killed and the servers lived on, each of some 2,200 open flows was searched at 52 gates, none of which could tell without the packet itself. Thin links carried 300 bytes a gate and flow; recovery took 8 s.

Change: the two gates of which the less loaded is chosen are the first usable ones of the flow's rank (highest hash) in place of two drawn at random, later tries take the next two. A search asks the first ten of the rank; then every gate of the route, then all.

--- a/pollensteer/balancer.go
+++ b/pollensteer/balancer.go
@@ -119,8 +119,9 @@
 	budget    budget
 	// settled is set once Gone has found every gate known.
 	settled bool
-	// list is the memory of Decision.Gates.
-	list []netip.AddrPort
+	// list is the memory of Decision.Gates, and ranked that of rank.
+	list   []netip.AddrPort
+	ranked rank
 }
 
 type key [12]byte
@@ -132,8 +133,8 @@
 	used time.Time
 	// acknowledged is what the caller's last packet did.
 	acknowledged uint32
-	// wide is set once every gate was asked, not only those of the route.
-	wide bool
+	// reach is that of the flow's search; empty before it.
+	reach reach
 	// asked is when the gates that are not in absent were last asked.
 	asked time.Time
 	// absent holds the gates that were searched and do not hold the flow.
@@ -151,6 +152,8 @@
 
 type gate struct {
 	address netip.AddrPort
+	// hash is that of the address.
+	hash    uint64
 	domain  pollendocument.DomainName
 	server  pollenpeer.Server
 	leaving bool
@@ -213,7 +216,8 @@
 		g = nil
 	}
 	if g == nil {
-		g = &gate{address: p.Address}
+		text := p.Address.AppendTo(make([]byte, 0, 64))
+		g = &gate{address: p.Address, hash: xxhash.Sum64(text)}
 		b.gates[p.Address] = g
 		list := b.services[p.Server.Service]
 		at, _ := slices.BinarySearchFunc(list, p.Address, func(g *gate, a netip.AddrPort) int { return g.address.Compare(a) })
@@ -302,16 +306,17 @@
 		return Decision{Verdict: VerdictPass, Gate: h.gate.address, Service: ServiceHash(h.gate.server.Service)}
 	}
 	if !known {
-		return b.place(now, k, r, p, h, nil)
+		return b.place(now, k, r, p, h, 0, nil)
 	}
-	d := b.place(now, k, r, p, h, h.gate)
+	d := b.place(now, k, r, p, h, 1, h.gate)
 	d.Retry = pollenkernel.RetryOpening
 	return d
 }
 
-// place chooses a gate for a new flow, of which h is known.
-func (b *Balancer) place(now time.Time, k key, r *route, p *pollenpacket.Packet, h hint, without *gate) Decision {
-	g := b.choose(now, k, r, without)
+// place chooses a gate for a new flow, of which h is known, after so many tries
+// of which without was the last.
+func (b *Balancer) place(now time.Time, k key, r *route, p *pollenpacket.Packet, h hint, tries int, without *gate) Decision {
+	g := b.choose(now, k, r, tries, without)
 	if g == nil && now.Sub(b.config.Begun) < settleTime {
 		return wait(p, pollenkernel.RefusalNotReady)
 	}
@@ -353,7 +358,7 @@
 	if h.Hops >= maxHops {
 		return refuse(p, pollenkernel.RefusalHopLimit)
 	}
-	return b.place(now, k, r, p, known, decliner)
+	return b.place(now, k, r, p, known, int(h.Hops), decliner)
 }
 
 // everyCopy has the bits of the opening packet and its copies.
--- a/pollensteer/choose.go
+++ b/pollensteer/choose.go
@@ -30,7 +30,7 @@
 
 // choose returns a gate for a new flow of the route, or nil. The service is
 // drawn by the weights, among those that have a usable gate.
-func (b *Balancer) choose(now time.Time, k key, r *route, without *gate) *gate {
+func (b *Balancer) choose(now time.Time, k key, r *route, tries int, without *gate) *gate {
 	draw := b.random.IntN(r.weight)
 	first := 0
 	for first < len(r.Shares)-1 && draw >= r.Shares[first].Weight {
@@ -43,7 +43,7 @@
 		if len(gates) == 0 {
 			continue
 		}
-		if g := b.policy(b, now, k, gates, without); g != nil {
+		if g := b.policy(b, &choice{now: now, key: k, gates: gates, tries: tries, without: without}); g != nil {
 			return g
 		}
 	}
--- a/pollensteer/policy.go
+++ b/pollensteer/policy.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"pollenstep.example/pollenstep/pollenkernel"
 )
 
@@ -13,7 +11,8 @@
 
 // Names of policies.
 const (
-	// PolicyTwoChoices takes the less loaded of two gates that are drawn.
+	// PolicyTwoChoices takes the less loaded of two gates that the flow's ends
+	// hash to.
 	PolicyTwoChoices PolicyName = "two-choices"
 	// PolicyLeastWork takes the gate with the least unfinished work of all.
 	PolicyLeastWork PolicyName = "least-work"
@@ -25,9 +24,19 @@
 	PolicyRandom PolicyName = "random"
 )
 
-// A policy returns a usable gate of the list, which is not empty, other than
-// without; or nil when there is none.
-type policy func(b *Balancer, now time.Time, k key, gates []*gate, without *gate) *gate
+// A choice is what a policy chooses for.
+type choice struct {
+	now time.Time
+	key key
+	// gates is not empty.
+	gates []*gate
+	// tries is the number of gates that were tried before, without the last.
+	tries   int
+	without *gate
+}
+
+// A policy returns a usable gate other than without, or nil when there is none.
+type policy func(b *Balancer, c *choice) *gate
 
 // policies holds the ways to choose; the first is the default, the others are
 // there to be compared with it.
@@ -35,15 +44,11 @@
 
 func init() {
 	policies.Register(string(PolicyTwoChoices), 0, (*Balancer).twoChoices)
-	policies.Register(string(PolicyLeastWork), 1, func(b *Balancer, now time.Time, _ key, gates []*gate, without *gate) *gate {
-		return b.least(now, gates, without, lighter)
-	})
-	policies.Register(string(PolicyLeastFlows), 2, func(b *Balancer, now time.Time, _ key, gates []*gate, without *gate) *gate {
-		return b.least(now, gates, without, fewerFlows)
-	})
+	policies.Register(string(PolicyLeastWork), 1, func(b *Balancer, c *choice) *gate { return b.least(c, lighter) })
+	policies.Register(string(PolicyLeastFlows), 2, func(b *Balancer, c *choice) *gate { return b.least(c, fewerFlows) })
 	policies.Register(string(PolicyHash), 3, (*Balancer).byHash)
-	policies.Register(string(PolicyRandom), 4, func(b *Balancer, now time.Time, _ key, gates []*gate, without *gate) *gate {
-		return b.least(now, gates, without, func(a, _ *gate) *gate { return a })
+	policies.Register(string(PolicyRandom), 4, func(b *Balancer, c *choice) *gate {
+		return b.least(c, func(a, _ *gate) *gate { return a })
 	})
 }
 
@@ -56,37 +61,43 @@
 	return names
 }
 
-// maxDraws bounds the gates that are looked at before the whole list is: with
-// half of the gates usable, one choice in 30,000 needs the list.
-const maxDraws = 16
-
-// twoChoices draws two usable gates and returns the one with less unfinished
-// work. Taking the best of all would send the flows of every balancer to the
-// same gate until its next beat.
-func (b *Balancer) twoChoices(now time.Time, _ key, gates []*gate, without *gate) *gate {
+// twoChoices returns the one with less unfinished work of two usable gates.
+// Taking the best of all would send the flows of every balancer to the same gate
+// until its next beat. The two are the next in the flow's rank that were not
+// tried, so that a balancer which knows nothing of the flow finds it by asking a
+// few gates.
+func (b *Balancer) twoChoices(c *choice) *gate {
 	var first *gate
-	for range maxDraws {
-		g := gates[b.random.IntN(len(gates))]
+	// The gate that was tried last is not counted.
+	skip := max(0, 2*c.tries-1)
+	for _, g := range b.rank(c.key, c.gates) {
+		if g == c.without || !b.usable(c.now, g) {
+			continue
+		}
 		switch {
-		case g == first || g == without || !b.usable(now, g):
+		case skip > 0:
+			skip--
 		case first == nil:
 			first = g
 		default:
 			return lighter(first, g)
 		}
 	}
-	return b.least(now, gates, without, lighter)
+	if first != nil {
+		return first
+	}
+	return b.least(c, lighter)
 }
 
 // least returns the usable gate that is better than all others, looked at from
 // a random place on.
-func (b *Balancer) least(now time.Time, gates []*gate, without *gate, better func(a, b *gate) *gate) *gate {
+func (b *Balancer) least(c *choice, better func(a, b *gate) *gate) *gate {
 	var best *gate
-	start := b.random.IntN(len(gates))
-	for i := range gates {
-		g := gates[(start+i)%len(gates)]
+	start := b.random.IntN(len(c.gates))
+	for i := range c.gates {
+		g := c.gates[(start+i)%len(c.gates)]
 		switch {
-		case g == without || !b.usable(now, g):
+		case g == c.without || !b.usable(c.now, g):
 		case best == nil:
 			best = g
 		default:
@@ -120,19 +131,12 @@
 	return a
 }
 
-// byHash returns the usable gate with the highest hash of its address and the
-// flow's ends.
-func (b *Balancer) byHash(now time.Time, k key, gates []*gate, without *gate) *gate {
-	var best *gate
-	var most uint64
-	for _, g := range gates {
-		if g == without || !b.usable(now, g) {
-			continue
-		}
-		text := g.address.AppendTo(make([]byte, 0, 64))
-		if n := xxhash.Sum64(append(text, k[:]...)); best == nil || n > most {
-			best, most = g, n
+// byHash returns the first usable gate of the flow's rank.
+func (b *Balancer) byHash(c *choice) *gate {
+	for _, g := range b.rank(c.key, c.gates) {
+		if g != c.without && b.usable(c.now, g) {
+			return g
 		}
 	}
-	return best
+	return b.least(c, func(a, _ *gate) *gate { return a })
 }
--- a/pollensteer/search.go
+++ b/pollensteer/search.go
@@ -16,30 +16,54 @@
 // closes its flow does not, but repeats the packet for seconds.
 func urgent(p *pollenpacket.Packet) bool { return !p.Finish && !p.Reset }
 
-// search sends the packet to the gates that may hold its flow: first those of
-// the route's services, then every one, since the route may have had other
-// services when the flow was opened.
+// A reach says which gates a search asks.
+type reach string
+
+const (
+	// reachNear asks the first gates in the flow's rank, of which one was
+	// probably chosen for it.
+	reachNear reach = "near"
+	// reachRoute asks every gate of the route's services: the others may have
+	// been busy, or some gates were not known.
+	reachRoute reach = "route"
+	// reachAll asks every gate, since the route may have had other services when
+	// the flow was opened.
+	reachAll reach = "all"
+)
+
+// next returns the reach of the next step.
+func (r reach) next() reach {
+	switch r {
+	case "":
+		return reachNear
+	case reachNear:
+		return reachRoute
+	case reachRoute, reachAll:
+	}
+	return reachAll
+}
+
+// search sends the packet to the gates that may hold its flow.
 func (b *Balancer) search(now time.Time, k key, r *route, h hint, urgent bool) Decision {
-	b.list = b.list[:0]
-	if !h.wide {
-		for _, s := range r.Shares {
-			b.listGates(b.services[s.Service], h.absent)
-		}
-		h.wide = len(b.list) == 0
+	switch {
+	case h.reach == "":
+		h.reach = reachNear
+	case now.Sub(h.asked) < askAgain:
+		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalUnknownFlow}
+	case h.reach == reachNear && !h.asked.IsZero():
+		// Some did not answer; the holder need not be among them.
+		h.reach = reachRoute
 	}
-	if h.wide {
-		for _, name := range slices.Sorted(maps.Keys(b.services)) {
-			b.listGates(b.services[name], h.absent)
-		}
+	b.listReach(now, k, r, &h)
+	for len(b.list) == 0 && h.reach != reachAll {
+		h.reach = h.reach.next()
+		b.listReach(now, k, r, &h)
 	}
 	h.gate, h.used = nil, now
 	b.remember(k, h)
 	if len(b.list) == 0 {
 		return b.searched(now, k, h)
 	}
-	if now.Sub(h.asked) < askAgain {
-		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalUnknownFlow}
-	}
 	if !b.budget.take(now, len(b.list), urgent) {
 		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalSearchLimit}
 	}
@@ -48,11 +72,40 @@
 	return Decision{Verdict: VerdictSearch, Reason: pollenkernel.RefusalUnknownFlow, Gates: b.list}
 }
 
-func (b *Balancer) listGates(gates, without []*gate) {
-	for _, g := range gates {
-		if !slices.Contains(without, g) {
+// listReach lists the gates that a search asks: those that may hold the flow and
+// have not said that they do not.
+func (b *Balancer) listReach(now time.Time, k key, r *route, h *hint) {
+	b.list = b.list[:0]
+	b.eachGate(k, r, h.reach, func(g *gate) bool {
+		if !slices.Contains(h.absent, g) && g.mayHold(now) {
 			b.list = append(b.list, g.address)
 		}
+		return true
+	})
+}
+
+// eachGate calls visit with the gates of a reach until it returns false.
+func (b *Balancer) eachGate(k key, r *route, within reach, visit func(g *gate) bool) {
+	if within == reachAll {
+		for _, name := range slices.Sorted(maps.Keys(b.services)) {
+			for _, g := range b.services[name] {
+				if !visit(g) {
+					return
+				}
+			}
+		}
+		return
+	}
+	for _, s := range r.Shares {
+		gates := b.services[s.Service]
+		if within == reachNear {
+			gates = b.rank(k, gates)
+		}
+		for _, g := range gates {
+			if !visit(g) {
+				return
+			}
+		}
 	}
 }
 
@@ -98,8 +151,8 @@
 	}
 	h.absent = append(slices.Clip(h.absent), g)
 	b.hints[k] = h
-	if !h.wide && b.allAbsent(now, r, h.absent) {
-		h.wide, h.asked = true, time.Time{}
+	if h.reach != reachAll && b.absentWithin(now, k, r, &h) {
+		h.reach, h.asked = h.reach.next(), time.Time{}
 		if d := b.search(now, k, r, h, urgent(p)); d.Verdict == VerdictSearch {
 			return d
 		}
@@ -160,15 +213,13 @@
 	return g.server.State != pollenpeer.ServerUnknown || now.Sub(g.heard) < pollenpeer.Fresh
 }
 
-// allAbsent reports whether every gate of the route's services that may hold a
-// flow is in the list.
-func (b *Balancer) allAbsent(now time.Time, r *route, absent []*gate) bool {
-	for _, s := range r.Shares {
-		for _, g := range b.services[s.Service] {
-			if !slices.Contains(absent, g) && g.mayHold(now) {
-				return false
-			}
-		}
-	}
-	return true
+// absentWithin reports whether no gate within the reach of a search may hold the
+// flow any more.
+func (b *Balancer) absentWithin(now time.Time, k key, r *route, h *hint) bool {
+	absent := true
+	b.eachGate(k, r, h.reach, func(g *gate) bool {
+		absent = slices.Contains(h.absent, g) || !g.mayHold(now)
+		return absent
+	})
+	return absent
 }
--- a/pollensteer/search_test.go
+++ b/pollensteer/search_test.go
@@ -1,10 +1,12 @@
 package pollensteer_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"pollenstep.example/pollenstep/pollenkernel"
+	"pollenstep.example/pollenstep/pollenlink"
 	"pollenstep.example/pollenstep/pollensteer"
 )
 
@@ -54,3 +56,64 @@
 		t.Fatalf("asked %v; want the gate that did not answer", again.Gates)
 	}
 }
+
+// TestNearGatesAreAskedFirst has a balancer that knows nothing of the flows look
+// for the gates that another one chose among 52, some of them at the second or
+// third try.
+func TestNearGatesAreAskedFirst(t *testing.T) {
+	const gates, flows, most = 52, 200, 10
+	fill := func() *pollensteer.Balancer {
+		b := pollensteer.New(pollensteer.Config{Domain: "a", Begun: begun, Seed: 1})
+		b.SetView(view(1))
+		for n := range gates {
+			b.SetGate(settled, gate(n+1, "rings"))
+		}
+		return b
+	}
+	first, second := fill(), fill()
+	busy := pollenlink.Header{Kind: pollenlink.KindDeclined, Reason: pollenkernel.RefusalDraining}
+	for i := range uint16(flows) {
+		d := first.Steer(settled, opening(i, 0))
+		for busy.Hops = 1; busy.Hops <= uint8(i%3); busy.Hops++ {
+			d = first.Declined(settled, d.Gate, busy, opening(i, 0))
+		}
+		want(t, d, pollensteer.VerdictPass, "")
+		asked := second.Steer(settled, packet(i)).Gates
+		if len(asked) > most || !slices.Contains(asked, d.Gate) {
+			t.Fatalf("flow %d, opened at try %d: %d gates asked, the holder among them: %t",
+				i, i%3, len(asked), slices.Contains(asked, d.Gate))
+		}
+		// First is told again of the gates that it has learned to avoid.
+		for n := range gates {
+			first.SetGate(settled, gate(n+1, "rings"))
+		}
+	}
+}
+
+// TestSearchGoesOn has the first gates of a flow not hold it, or not answer.
+func TestSearchGoesOn(t *testing.T) {
+	const gates = 52
+	for name, answer := range map[string]bool{"absent": true, "silent": false} {
+		b := pollensteer.New(pollensteer.Config{Domain: "a", Begun: begun, Seed: 1})
+		b.SetView(view(1))
+		for n := range gates {
+			b.SetGate(settled, gate(n+1, "rings"))
+		}
+		near := slices.Clone(b.Steer(settled, packet(1)).Gates)
+		var rest pollensteer.Decision
+		if answer {
+			for _, a := range near {
+				rest = b.Absent(settled, a, packet(1))
+			}
+		} else {
+			rest = b.Steer(settled.Add(200*time.Millisecond), packet(1))
+		}
+		expected := gates
+		if answer {
+			expected = gates - len(near)
+		}
+		if rest.Verdict != pollensteer.VerdictSearch || len(rest.Gates) != expected {
+			t.Errorf("%s: %s with %d gates; want %d", name, rest.Verdict, len(rest.Gates), expected)
+		}
+	}
+}
