Do not wait for hosts that came back without their backend servers

Cause: one gate whose server had been taken away never said that it had started, so that after a power loss no balancer took the whole system for restarted, and callers of lost flows waited 2 s for their answer.

Change: a tenth of the gates may stand beside no server; once the system is known to have restarted they are not asked.

--- a/pollenpeer/table.go
+++ b/pollenpeer/table.go
@@ -297,11 +297,15 @@
 // the power does, and shorter than a backend server stays cold.
 const restartSpan = 2 * time.Second
 
+// emptyShare is the part of the gates, one in so many, that may stand beside no
+// backend server when a system restarts: hosts whose servers were taken away.
+const emptyShare = 10
+
 // Restarted reports whether every peer that is heard, this process included, has
 // just started, with its backend server if it has one: the whole system was
 // down, and nothing from before is left.
 func (t *Table) Restarted(now time.Time) bool {
-	gates := 0
+	gates, empty := 0, 0
 	for _, k := range t.peers {
 		age := now.Sub(k.Heard)
 		if age >= Fresh {
@@ -310,7 +314,10 @@
 		switch k.Peer.Role {
 		case RoleGate:
 			gates++
-			if !k.Peer.Server.Starting {
+			switch {
+			case k.Peer.Server.State == ServerUnknown:
+				empty++
+			case !k.Peer.Server.Starting:
 				return false
 			}
 		case RoleBalancer:
@@ -319,5 +326,5 @@
 			}
 		}
 	}
-	return gates > 0
+	return gates > 0 && empty*emptyShare <= gates
 }
--- a/pollensteer/balancer_test.go
+++ b/pollensteer/balancer_test.go
@@ -160,6 +160,13 @@
 	want(t, searchAll(b, soon, packet(1)), pollensteer.VerdictDrop, pollenkernel.RefusalUnknownFlow)
 	b.SetRestarted(true)
 	want(t, searchAll(b, soon, packet(2)), pollensteer.VerdictReset, pollenkernel.RefusalUnknownFlow)
+	// A host that came back without its server has nothing to answer.
+	b = restarting()
+	empty := gate(4, "rings")
+	empty.Server.State = pollenpeer.ServerUnknown
+	b.SetGate(begun, empty)
+	b.SetRestarted(true)
+	want(t, searchAll(b, soon, packet(1)), pollensteer.VerdictReset, pollenkernel.RefusalUnknownFlow)
 	// Peers that did not restart may not have answered yet.
 	b = restarting()
 	b.SetRestarted(true)
--- a/pollensteer/search.go
+++ b/pollensteer/search.go
@@ -77,7 +77,7 @@
 func (b *Balancer) listReach(now time.Time, k key, r *route, h *hint) {
 	b.list = b.list[:0]
 	b.eachGate(k, r, h.reach, func(g *gate) bool {
-		if !slices.Contains(h.absent, g) && g.mayHold(now) {
+		if !slices.Contains(h.absent, g) && b.mayHold(now, g) {
 			b.list = append(b.list, g.address)
 		}
 		return true
@@ -200,17 +200,18 @@
 // list, which may also hold gates that are gone.
 func (b *Balancer) everyGateAbsent(now time.Time, absent []*gate) bool {
 	for _, g := range b.gates {
-		if !slices.Contains(absent, g) && g.mayHold(now) {
+		if !slices.Contains(absent, g) && b.mayHold(now, g) {
 			return false
 		}
 	}
 	return true
 }
 
-// mayHold returns false for a gate that fell silent before any server had
-// reported to it: its host came back without a server and was then taken away.
-func (g *gate) mayHold(now time.Time) bool {
-	return g.server.State != pollenpeer.ServerUnknown || now.Sub(g.heard) < pollenpeer.Fresh
+// mayHold returns false for a gate that no server has reported to, once it fell
+// silent or the whole system has just started: its host came back without a
+// server.
+func (b *Balancer) mayHold(now time.Time, g *gate) bool {
+	return g.server.State != pollenpeer.ServerUnknown || (!b.restarted && now.Sub(g.heard) < pollenpeer.Fresh)
 }
 
 // absentWithin reports whether no gate within the reach of a search may hold the
@@ -218,7 +219,7 @@
 func (b *Balancer) absentWithin(now time.Time, k key, r *route, h *hint) bool {
 	absent := true
 	b.eachGate(k, r, h.reach, func(g *gate) bool {
-		absent = slices.Contains(h.absent, g) || !g.mayHold(now)
+		absent = slices.Contains(h.absent, g) || !b.mayHold(now, g)
 		return absent
 	})
 	return absent
