--- a/pollenlink/link.go
+++ b/pollenlink/link.go
@@ -37,8 +37,8 @@
 	TakePacket(now time.Time, from netip.AddrPort, h Header, datagram []byte)
 	// TakeMessage takes a whole message.
 	TakeMessage(now time.Time, from netip.AddrPort, kind Kind, message []byte)
-	// TakeGarbage takes a datagram that is none of these.
-	TakeGarbage(now time.Time, from netip.AddrPort, size int)
+	// TakeGarbage takes a datagram that is none of these, and what is wrong.
+	TakeGarbage(now time.Time, from netip.AddrPort, size int, what string)
 }
 
 // Open returns a new Link that is bound to the address.
@@ -75,14 +75,14 @@
 		h, ok := ReadHeader(buffer[:n])
 		switch {
 		case !ok:
-			handler.TakeGarbage(time.Now(), from, n)
+			handler.TakeGarbage(time.Now(), from, n, "unknown kind")
 		case h.Kind.ofFlow():
 			handler.TakePacket(time.Now(), from, h, buffer[:n])
 		default:
 			message, err := join.add(time.Now(), from, buffer[:n])
 			switch {
 			case err != nil:
-				handler.TakeGarbage(time.Now(), from, n)
+				handler.TakeGarbage(time.Now(), from, n, err.Error())
 			case message != nil:
 				handler.TakeMessage(time.Now(), from, h.Kind, message)
 			}
--- a/pollenlink/link_test.go
+++ b/pollenlink/link_test.go
@@ -56,7 +56,7 @@
 	i.messages <- bytes.Clone(message)
 }
 
-func (i *inbox) TakeGarbage(_ time.Time, _ netip.AddrPort, size int) { i.garbage <- size }
+func (i *inbox) TakeGarbage(_ time.Time, _ netip.AddrPort, size int, _ string) { i.garbage <- size }
 
 // TestMessages sends messages of all sizes over loopback, and garbage between
 // them.
--- a/pollenlink/pack.go
+++ b/pollenlink/pack.go
@@ -19,7 +19,8 @@
 		return message, false
 	}
 	var out bytes.Buffer
-	// The stateless form holds no window between messages.
+	// The stateless form holds no window between messages. Writing to memory does
+	// not fail; were it to, the message would go as it is.
 	if err := flate.StatelessDeflate(&out, message, true, nil); err != nil || fragments(out.Len()) >= fragments(len(message)) {
 		return message, false
 	}
--- a/pollennode/balancer.go
+++ b/pollennode/balancer.go
@@ -44,6 +44,8 @@
 	leader netip.AddrPort
 	// isolated is set while nearly all peers are silent.
 	isolated bool
+	// restarted is set while the whole system has just started.
+	restarted bool
 	// found is when the last new gate was heard.
 	found   time.Time
 	founder netip.AddrPort
@@ -263,7 +265,7 @@
 		b.record.Change("peer lost", peerFields(&p))
 	}
 	b.steer.Sweep(now)
-	b.steer.SetRestarted(b.table.Restarted(now))
+	b.noteRestart(now)
 	for _, p := range b.steer.Gone(now) {
 		b.reset(&p)
 		b.metrics.Refused(pollenkernel.RefusalUnknownFlow)
@@ -278,6 +280,19 @@
 	b.record.ReportLeft(now)
 }
 
+// noteRestart tells the decisions whether the whole system has just started. The
+// lock is held.
+func (b *Balancer) noteRestart(now time.Time) {
+	restarted := b.table.Restarted(now)
+	b.steer.SetRestarted(restarted)
+	if restarted != b.restarted {
+		b.restarted = restarted
+		b.record.Change("restart of the whole system", pollenrecord.Fields{
+			"restarted": restarted, "peers": len(b.table.All()), "uptime": now.Sub(b.began).String(),
+		})
+	}
+}
+
 // beat sends the beats that are due. The lock is held.
 func (b *Balancer) beat(now time.Time) {
 	due := b.table.Due(now)
--- a/pollennode/base.go
+++ b/pollennode/base.go
@@ -95,8 +95,8 @@
 }
 
 // TakeGarbage implements pollenlink.Handler.
-func (b *base) TakeGarbage(now time.Time, from netip.AddrPort, size int) {
-	b.malformed(now, from, size, "unknown kind")
+func (b *base) TakeGarbage(now time.Time, from netip.AddrPort, size int, what string) {
+	b.malformed(now, from, size, what)
 }
 
 // sendBeat sends this process's beat. The lock is held.
--- a/pollennode/carry.go
+++ b/pollennode/carry.go
@@ -1,6 +1,7 @@
 package pollennode
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -89,7 +90,9 @@
 	var ready []released
 	b.mu.Lock()
 	revision := b.steer.Revision()
-	for f, h := range b.held {
+	// In order, so that an emulation repeats.
+	for _, f := range slices.SortedFunc(maps.Keys(b.held), pollenpacket.Flow.Compare) {
+		h := b.held[f]
 		p, _ := b.settings.Format.Caller(h.datagram[pollenlink.HeaderSize:])
 		if d := b.steer.Steer(now, &p); d.Verdict != pollensteer.VerdictHold {
 			ready = append(ready, released{p, d, h.datagram})
--- a/pollennode/gate.go
+++ b/pollennode/gate.go
@@ -254,7 +254,10 @@
 	}
 	g.gate.Sweep(now)
 	s := g.gate.Server(now)
-	if s.State != g.told.State || s.Cold != g.told.Cold {
+	if s.Failing != g.told.Failing {
+		g.record.Change("backend server's answers changed", pollenrecord.Fields{"failing": s.Failing, "running": s.Running, "flows": s.Flows})
+	}
+	if s.State != g.told.State || s.Cold != g.told.Cold || s.Failing != g.told.Failing {
 		g.beat(now)
 	} else {
 		g.sendBeats(g.table.Due(now), now)
--- a/pollenpacket/packet.go
+++ b/pollenpacket/packet.go
@@ -2,7 +2,10 @@
 // on without ending them.
 package pollenpacket
 
-import "net/netip"
+import (
+	"cmp"
+	"net/netip"
+)
 
 // A Flow is the pair of ends that tells one flow from every other.
 type Flow struct {
@@ -11,6 +14,11 @@
 	Service netip.AddrPort
 }
 
+// Compare orders flows by their callers, then by the service addresses.
+func (f Flow) Compare(other Flow) int {
+	return cmp.Or(f.Caller.Compare(other.Caller), f.Service.Compare(other.Service))
+}
+
 // A Packet is what the system reads of one packet of a flow.
 type Packet struct {
 	Flow Flow
--- a/pollensteer/search.go
+++ b/pollensteer/search.go
@@ -186,6 +186,7 @@
 			gone = append(gone, pollenpacket.Packet{Flow: f, Answer: true, Acknowledged: h.acknowledged})
 		}
 	}
+	slices.SortFunc(gone, func(p, q pollenpacket.Packet) int { return p.Flow.Compare(q.Flow) })
 	return gone
 }
 
