--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,11 @@
 LINT := $(TOOLS)/golangci-lint
 LINT_VERSION := v2.15.0
 
-.PHONY: build quickstart test lint unit known bench fuzz format
+SEED := 1
+RUNS := 1
+DURATION := 60s
+
+.PHONY: build quickstart test lint unit known bench fuzz format soak
 
 build:
 	go build -o bin/ ./cmd/...
@@ -23,6 +27,9 @@
 known:
 	@cat KNOWN-RED.txt
 
+soak: build
+	bin/pollensoak -seed $(SEED) -runs $(RUNS) -duration $(DURATION)
+
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
 
--- /dev/null
+++ b/cmd/pollensoak/main.go
@@ -0,0 +1,67 @@
+// Command pollensoak runs the platform's programs as processes, disturbs them by
+// seeded series of faults, and checks the promises. It exits with 1 when one was
+// broken; settings, data and logs of that run are kept.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"pollenstep.example/pollenstep/pollensoak"
+)
+
+func main() {
+	binary := flag.String("binary", "bin/pollenstep", "the pollenstep program")
+	seed := flag.Uint64("seed", 1, "seed of the first run")
+	runs := flag.Int("runs", 1, "number of runs, with one seed after the other")
+	duration := flag.Duration("duration", time.Minute, "time during which faults are injected")
+	network := flag.Int("network", 77, "second number of the loopback addresses")
+	balancers := flag.Int("balancers", pollensoak.DefaultBalancers, "balancers in each of three failure domains")
+	servers := flag.Int("servers", pollensoak.DefaultServers, "backend servers in each of them")
+	flag.Parse()
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	failed := false
+	for i := 0; i < *runs && ctx.Err() == nil; i++ {
+		c := pollensoak.Config{
+			Seed: *seed + uint64(i), Duration: *duration, Binary: *binary, Network: *network, Balancers: *balancers, Servers: *servers,
+		}
+		if !soak(ctx, c) {
+			failed = true
+		}
+	}
+	cancel()
+	if failed {
+		os.Exit(1)
+	}
+}
+
+func soak(ctx context.Context, c pollensoak.Config) bool {
+	var err error
+	if c.Folder, err = os.MkdirTemp("", "pollensoak-"); err == nil {
+		c.Binary, err = filepath.Abs(c.Binary)
+	}
+	if err != nil {
+		fmt.Printf("soak: FAIL %v\n", err)
+		return false
+	}
+	result, err := pollensoak.Run(ctx, c)
+	switch {
+	case err != nil:
+		fmt.Printf("soak: FAIL seed=%d %v; see %s\n", c.Seed, err, c.Folder)
+		return false
+	case !result.Sound():
+		fmt.Printf("soak: FAIL %s; see %s\n", result.Line(), c.Folder)
+		for _, n := range result.Notes {
+			fmt.Printf("soak: %s\n", n)
+		}
+		return false
+	}
+	fmt.Printf("soak: ok %s\n", result.Line())
+	return os.RemoveAll(c.Folder) == nil
+}
--- /dev/null
+++ b/pollensoak/operator.go
@@ -0,0 +1,106 @@
+package pollensoak
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"pollenstep.example/pollenstep/platform"
+)
+
+// Times of the operator.
+const (
+	operatorWait = time.Second
+	operatorRest = 100 * time.Millisecond
+	// applyBound is the time after an acknowledgement in which a read may still
+	// give the document before.
+	applyBound = 3 * time.Second
+)
+
+// An operator submits documents through the proxies and reads them back.
+type operator struct {
+	run     *run
+	proxies []*proxy
+	client  *http.Client
+	version uint64
+	// acknowledged is the highest version that was acknowledged, and since when.
+	acknowledged uint64
+	since        time.Time
+	sent         map[uint64][]byte
+}
+
+func newOperator(r *run, proxies []*proxy) *operator {
+	return &operator{
+		run: r, proxies: proxies, sent: map[uint64][]byte{},
+		client: &http.Client{Timeout: operatorWait, Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+}
+
+func (o *operator) url(random *rand.Rand) string {
+	return fmt.Sprintf("http://%s/pollenstep/config", o.proxies[random.IntN(len(o.proxies))].listener.Addr())
+}
+
+// declare submits the next document until it is acknowledged or the limit is
+// over.
+func (o *operator) declare(random *rand.Rand, limit time.Duration) {
+	o.version += 1 + random.Uint64N(3)
+	body := platform.StandInDocument(o.version, o.run.addresses, serviceNames(), serviceKinds(), requestTimeout+time.Duration(o.version)*time.Millisecond)
+	o.sent[o.version] = body
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(operatorRest) {
+		switch status := call(o.client, http.MethodPut, o.url(random), body); status {
+		case http.StatusOK:
+			o.acknowledged, o.since = o.version, time.Now()
+			return
+		case 0, http.StatusServiceUnavailable:
+		default:
+			o.run.check.found("refused", fmt.Sprintf("version %d was answered with %d", o.version, status))
+			return
+		}
+	}
+}
+
+// read reads the document at any balancer, and returns false if it got none.
+func (o *operator) read(random *rand.Rand) bool {
+	must, old := o.acknowledged, time.Since(o.since) > applyBound
+	response, err := o.client.Get(o.url(random))
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode != http.StatusOK {
+		return false
+	}
+	var got struct {
+		Version uint64 `json:"version"`
+	}
+	if err := json.Unmarshal(body, &got); err != nil {
+		o.run.check.found("document", "the document that was read cannot be decoded")
+		return true
+	}
+	if old && got.Version < must {
+		o.run.check.found("reverted", fmt.Sprintf("read version %d; %d was acknowledged %s ago", got.Version, must, time.Since(o.since)))
+	}
+	if sent := o.sent[got.Version]; sent == nil || !bytes.Equal(sent, body) {
+		o.run.check.found("document", fmt.Sprintf("version %d is not what was sent under it", got.Version))
+	}
+	return true
+}
+
+func serviceNames() (names []string) {
+	for _, s := range services {
+		names = append(names, s.name)
+	}
+	return names
+}
+
+func serviceKinds() (kinds []string) {
+	for _, s := range services {
+		kinds = append(kinds, s.kind)
+	}
+	return kinds
+}
--- /dev/null
+++ b/pollensoak/soak_test.go
@@ -0,0 +1,30 @@
+package pollensoak_test
+
+import (
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"pollenstep.example/pollenstep/pollensoak"
+)
+
+// TestShortSoak runs the real programs for a while under a short series of
+// faults. The figures depend on the machine; the verdict must not.
+func TestShortSoak(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "pollenstep")
+	if out, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../cmd/pollenstep").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	result, err := pollensoak.Run(t.Context(), pollensoak.Config{
+		Seed: 1, Duration: 8 * time.Second, Binary: binary, Folder: t.TempDir(), Network: 91,
+		Balancers: pollensoak.DefaultBalancers, Servers: pollensoak.DefaultServers,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !result.Sound() {
+		t.Fatalf("%s\n%q", result.Line(), result.Notes)
+	}
+	t.Log(result.Line())
+}
