--- a/pollennode/carry.go
+++ b/pollennode/carry.go
@@ -89,6 +89,11 @@
 	}
 	var ready []released
 	b.mu.Lock()
+	if len(b.held) == 0 {
+		// Every message that arrives comes by here.
+		b.mu.Unlock()
+		return
+	}
 	revision := b.steer.Revision()
 	// In order, so that an emulation repeats.
 	for _, f := range slices.SortedFunc(maps.Keys(b.held), pollenpacket.Flow.Compare) {
--- a/pollensteer/search.go
+++ b/pollensteer/search.go
@@ -43,7 +43,7 @@
 	return reachAll
 }
 
-// search sends the packet to the gates that may hold its flow.
+// search lists the gates that are to be asked whether they hold the flow.
 func (b *Balancer) search(now time.Time, k key, r *route, h hint, urgent bool) Decision {
 	switch {
 	case h.reach == "":
