Leadership has a term and expires; calls follow the leader

A call follows the leader that an answer names, and does not repeat to a silent host while another replica is known. The emulator isolates hosts, in one direction too.

--- a/pollenemulator/event.go
+++ b/pollenemulator/event.go
@@ -16,9 +16,9 @@
 	case EventPowerOff:
 		w.powerOff(e.For)
 	case EventPartition:
-		domain := w.domainByName(e.Target)
-		w.partitioned[domain] = true
-		w.after(e.For, func() { delete(w.partitioned, domain) })
+		c := w.domainCuts[w.domainByName(e.Target)]
+		c.add(e.Direction, 1)
+		w.after(e.For, func() { c.add(e.Direction, -1) })
 	case EventEvacuate:
 		domain := w.domainByName(e.Target)
 		w.operator.setEvacuation(domain, true)
@@ -57,6 +57,9 @@
 		h.kill(max(restartDelay, e.For))
 	case EventFreeze:
 		h.frozenUntil = w.now.Add(e.For)
+	case EventIsolate:
+		h.cuts.add(e.Direction, 1)
+		w.after(e.For, func() { h.cuts.add(e.Direction, -1) })
 	case EventLoseDisk:
 		if h.disk != nil {
 			h.disk.erase()
@@ -139,7 +142,7 @@
 		if !h.running() || h.frozen() {
 			continue
 		}
-		isLeader := h.balancer != nil && h.balancer.Leader() == h.node
+		isLeader := h.balancer != nil && h.balancer.Leader(w.now) == h.node
 		switch e.Target {
 		case "gates":
 			if h.gate == nil {
--- a/pollenemulator/host.go
+++ b/pollenemulator/host.go
@@ -32,10 +32,24 @@
 	gate        *pollennode.Gate
 	// frozenUntil is the end of the host's last freeze.
 	frozenUntil time.Time
+	// cuts counts the partitions of this host that are in effect.
+	cuts cuts
 	// down is set after the program was killed, until it starts again.
 	down bool
 }
 
+// cuts counts the partitions in effect by the direction in which datagrams are lost.
+type cuts struct{ out, in int }
+
+func (c *cuts) add(d Direction, n int) {
+	if d != DirectionIn {
+		c.out += n
+	}
+	if d != DirectionOut {
+		c.in += n
+	}
+}
+
 // newHost adds a host to the world. The caller sets its server or disk and starts it.
 func newHost(w *world, domain, number int) *host {
 	h := &host{
--- a/pollenemulator/operator.go
+++ b/pollenemulator/operator.go
@@ -133,7 +133,7 @@
 		return nil
 	}
 	h := candidates[o.w.random.IntN(len(candidates))]
-	leader := o.w.nodes[h.balancer.Leader()]
+	leader := o.w.nodes[h.balancer.Leader(o.w.now)]
 	if leader == nil || leader.balancer == nil || leader.frozen() {
 		return nil
 	}
--- a/pollenemulator/plan.go
+++ b/pollenemulator/plan.go
@@ -107,8 +107,11 @@
 	// EventPowerOff stops all hosts and backend servers for Event.For and up to 400 ms
 	// more; disks lose what was not synced.
 	EventPowerOff EventKind = "power-off"
-	// EventPartition disconnects a failure domain from the others for Event.For.
+	// EventPartition disconnects a failure domain from the others for Event.For, and
+	// EventIsolate a host from all other hosts; callers still reach both. Event.Direction
+	// limits the partition to one direction.
 	EventPartition EventKind = "cut"
+	EventIsolate   EventKind = "isolate"
 	// EventReplaceServer replaces a backend server: a new one starts, and the old one drains
 	// and leaves.
 	EventReplaceServer EventKind = "drain"
@@ -126,11 +129,22 @@
 // EventKinds returns all kinds of events.
 func EventKinds() []EventKind {
 	return []EventKind{
-		EventStop, EventKill, EventFreeze, EventLoseDisk, EventDiskFull, EventPowerOff, EventPartition, EventReplaceServer, EventCrash,
-		EventEvacuate, EventDeclare, EventAddBalancers,
+		EventStop, EventKill, EventFreeze, EventLoseDisk, EventDiskFull, EventPowerOff, EventPartition, EventIsolate, EventReplaceServer,
+		EventCrash, EventEvacuate, EventDeclare, EventAddBalancers,
 	}
 }
 
+// A Direction is the direction in which a partition loses datagrams, seen from what is
+// cut off.
+type Direction string
+
+// Directions of partitions.
+const (
+	DirectionBoth Direction = "both"
+	DirectionOut  Direction = "out"
+	DirectionIn   Direction = "in"
+)
+
 // An Event is a fault or an operation at one time of a run.
 type Event struct {
 	// At is the time since the start of the callers.
@@ -148,6 +162,8 @@
 	Gap   time.Duration
 	// For is the duration of the fault.
 	For time.Duration
+	// Direction applies to EventPartition and EventIsolate.
+	Direction Direction
 }
 
 // A Measure names a figure of a run.
@@ -298,14 +314,15 @@
 }
 
 func readEvent(m *pollenyaml.Mapping) Event {
-	e := Event{Count: 1, Gap: time.Second}
+	e := Event{Count: 1, Gap: time.Second, Direction: DirectionBoth}
 	pollenyaml.Required(m, "at", &e.At, pollenyaml.Duration(0, maxDuration))
 	pollenyaml.Required(m, "do", &e.Kind, pollenyaml.Enum(EventKinds()...))
 	pollenyaml.Optional(m, "target", &e.Target, pollenyaml.Name[string]())
 	pollenyaml.Optional(m, "count", &e.Count, pollenyaml.Integer(1, maxHosts))
 	pollenyaml.Optional(m, "gap", &e.Gap, pollenyaml.Duration(0, time.Minute))
 	pollenyaml.Optional(m, "for", &e.For, pollenyaml.Duration(0, maxDuration))
-	m.ReportUnknown("at", "do", "target", "count", "gap", "for")
+	pollenyaml.Optional(m, "direction", &e.Direction, pollenyaml.Enum(DirectionBoth, DirectionOut, DirectionIn))
+	m.ReportUnknown("at", "do", "target", "count", "gap", "for", "direction")
 	return e
 }
 
--- a/pollenemulator/world.go
+++ b/pollenemulator/world.go
@@ -67,8 +67,9 @@
 	flows        map[pollenpacket.Flow]*flow
 	operator     *operator
 	measurements *measurements
-	// partitioned holds the failure domains that are disconnected from the others.
-	partitioned map[pollendocument.DomainName]bool
+	// domainCuts has an entry for each failure domain, with the partitions between it
+	// and the others.
+	domainCuts map[pollendocument.DomainName]*cuts
 }
 
 // task is a function scheduled for a virtual time. Tasks of the same time run in the
@@ -146,13 +147,14 @@
 		plan: p, random: rand.New(rand.NewPCG(p.Seed, 2)), now: epoch,
 		logger: pollenrecord.New(io.Discard, logrus.PanicLevel, nil),
 		nodes:  map[netip.AddrPort]*host{}, routers: map[pollendocument.DomainName]*router{},
-		flows: map[pollenpacket.Flow]*flow{}, partitioned: map[pollendocument.DomainName]bool{},
+		flows: map[pollenpacket.Flow]*flow{}, domainCuts: map[pollendocument.DomainName]*cuts{},
 	}
 	w.measurements = newMeasurements(w)
 	w.operator = newOperator(w)
 	for z, d := range p.Domains {
 		w.seeds = append(w.seeds, netip.AddrPortFrom(hostAddress(z, 1), nodePort))
 		w.routers[d] = newRouter(w)
+		w.domainCuts[d] = &cuts{}
 	}
 	w.seeds = w.seeds[:min(len(w.seeds), 3)]
 	for range p.Balancers {
@@ -196,7 +198,7 @@
 // delay returns the delay of a datagram between two failure domains; ok is false if
 // the datagram is lost.
 func (w *world) delay(from, to pollendocument.DomainName) (d time.Duration, ok bool) {
-	if from != to && (w.partitioned[from] || w.partitioned[to]) {
+	if from != to && (w.domainCuts[from].out > 0 || w.domainCuts[to].in > 0) {
 		return 0, false
 	}
 	if w.random.IntN(thousand) < w.plan.LossPerMille {
@@ -213,7 +215,7 @@
 func (w *world) sendToNode(from *host, to netip.AddrPort, handle func(h *host)) {
 	h, known := w.nodes[to]
 	d, ok := w.delay(from.domain, w.domainOf(to))
-	if !known || !ok {
+	if !known || !ok || from.cuts.out > 0 || h.cuts.in > 0 {
 		return
 	}
 	w.measurements.messages++
--- a/pollenlog/entries.go
+++ b/pollenlog/entries.go
@@ -71,6 +71,9 @@
 	Term Term
 	// Leader is zero when the replica knows none in its term.
 	Leader ReplicaID
+	// LeaderSeen is when the leader was last known to lead: when its last message
+	// was received or, at the leader itself, the time of the last Step.
+	LeaderSeen time.Time
 	// Last is the index of the last entry, whether committed or not.
 	Last Index
 	// Commit is the highest index known to be committed.
@@ -100,9 +103,10 @@
 	s := Status{
 		ID: n.config.ID, Role: n.role, Term: n.hard.Term, Leader: n.leader,
 		Last: n.lastIndex(), Commit: n.commit, Applied: n.applied, Snapshot: n.snapshot.Index,
-		Membership: n.membership,
+		Membership: n.membership, LeaderSeen: n.leaderSeen,
 	}
 	if n.role == RoleLeader {
+		s.LeaderSeen = n.now
 		s.HasLease = n.hasQuorumContact()
 		s.AppliedOwnTerm = n.termAt(n.applied) == n.hard.Term
 		s.Match = map[ReplicaID]Index{}
--- a/pollennode/balancer.go
+++ b/pollennode/balancer.go
@@ -43,10 +43,10 @@
 	control *control
 
 	// The fields below are guarded by base.mu.
-	steer *pollensteer.Balancer
-	// leader is the address of the leading control host; it is invalid if the
-	// leader is not known.
-	leader netip.AddrPort
+	steer      *pollensteer.Balancer
+	leadership pollenpeer.Leadership
+	// loggedLeader is the leader in the last log line about a change of it.
+	loggedLeader netip.AddrPort
 	// isolated is set while nearly all peers are silent.
 	isolated bool
 	// restarted is set while the whole system has just started.
@@ -118,11 +118,24 @@
 	return gatesKnown || now.Sub(b.startTime) >= noGateTimeout
 }
 
-// Leader returns the address of the leading control host, or an invalid one.
-func (b *Balancer) Leader() netip.AddrPort {
+// Leader returns the address of the leading control host, or an invalid one if none
+// is known at the time now.
+func (b *Balancer) Leader(now time.Time) netip.AddrPort {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.leader
+	return b.leadership.Current(now)
+}
+
+// mergeLeadership takes over news about the leader that is of a higher term, or
+// confirmed later. from is where the news came from. mu must be held.
+func (b *Balancer) mergeLeadership(now time.Time, news pollenpeer.Leadership, from netip.AddrPort) {
+	b.leadership.Merge(now, news)
+	if leader := b.leadership.Current(now); leader != b.loggedLeader {
+		b.loggedLeader = leader
+		b.log.Info("leading control host changed", pollenrecord.Fields{
+			"leader": leader, "term": b.leadership.Term, "age": now.Sub(b.leadership.ConfirmedAt).String(), "told": from,
+		})
+	}
 }
 
 // HandleCallerPacket steers one packet of a caller, which begins at offset
@@ -224,10 +237,7 @@
 	if heartbeat.BootstrapHost.IsValid() && len(b.settings.Seeds) > 0 && heartbeat.Peer.Address == b.settings.Seeds[0] {
 		b.bootstrapHost = heartbeat.BootstrapHost
 	}
-	if (b.control == nil || !b.leader.IsValid()) && heartbeat.Peer.Disk && heartbeat.Leader.IsValid() && heartbeat.Leader != b.leader {
-		b.leader = heartbeat.Leader
-		b.log.Info("leading control host changed", pollenrecord.Fields{"leader": b.leader, "told": heartbeat.Peer.Address})
-	}
+	b.mergeLeadership(now, heartbeat.LeadershipAt(now), heartbeat.Peer.Address)
 	if heartbeat.Peer.Role == pollenpeer.RoleGate {
 		b.steer.SetGate(now, &heartbeat.Peer)
 		if change == pollenpeer.ChangeNew {
@@ -249,7 +259,7 @@
 func (b *Balancer) ownHeartbeat(now time.Time) pollenpeer.Heartbeat {
 	b.table.Self().Uptime = now.Sub(b.startTime)
 	heartbeat := b.table.NextHeartbeat(now)
-	heartbeat.Leader = b.leader
+	heartbeat.SetLeadership(now, b.leadership)
 	heartbeat.BootstrapHost = b.bootstrapHost
 	return heartbeat
 }
@@ -265,13 +275,16 @@
 	}
 }
 
-// setLeader records the leader that this host's replica knows, and the replica's
-// own role and term.
-func (b *Balancer) setLeader(leader netip.AddrPort, role pollenlog.Role, term pollenlog.Term) {
+// confirmLeader records what this host's replica knows first-hand: that the host at
+// the address led in the term at confirmedAt. An invalid address means that the
+// replica knows no leader.
+func (b *Balancer) confirmLeader(now time.Time, l pollenpeer.Leadership) {
 	b.mu.Lock()
-	b.leader = leader
-	b.mu.Unlock()
-	b.log.Info("leading control host changed", pollenrecord.Fields{"leader": leader, "role": role, "term": term})
+	defer b.mu.Unlock()
+	if l.Leader != b.settings.Node {
+		b.leadership.Reject(now, b.settings.Node)
+	}
+	b.mergeLeadership(now, l, b.settings.Node)
 }
 
 // applyCommitted applies what this host's replica has committed. leads is set on
@@ -320,15 +333,18 @@
 // sendJoin sends every known host with a disk the request to add this host's
 // replica to the replicas of the log.
 func (b *Balancer) sendJoin(j pollencontrol.Join) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+	b.transport.SendMessage(pollenlink.KindJoin, pollenwire.Marshal(&j, pollenwire.MapJoin), b.otherReplicas()...)
+}
+
+// disks returns the known balancers with a disk, sorted. mu must be held.
+func (b *Balancer) disks() []netip.AddrPort {
 	var disks []netip.AddrPort
 	for _, a := range b.table.Balancers() {
 		if e, ok := b.table.Get(a); ok && e.Peer.Disk {
 			disks = append(disks, a)
 		}
 	}
-	b.transport.SendMessage(pollenlink.KindJoin, pollenwire.Marshal(&j, pollenwire.MapJoin), disks...)
+	return disks
 }
 
 // Leave makes the balancer report that it is not ready and transfers leadership.
--- a/pollennode/control.go
+++ b/pollennode/control.go
@@ -8,6 +8,7 @@
 	"pollenstep.example/pollenstep/pollencontrol"
 	"pollenstep.example/pollenstep/pollenlog"
 	"pollenstep.example/pollenstep/pollenmetric"
+	"pollenstep.example/pollenstep/pollenpeer"
 	"pollenstep.example/pollenstep/pollenrecord"
 	"pollenstep.example/pollenstep/pollenstore"
 	"pollenstep.example/pollenstep/pollenview"
@@ -71,7 +72,6 @@
 	// leaderSeen is when a leader was last known.
 	leaderSeen time.Time
 	lastJoin   time.Time
-	leader     netip.AddrPort
 	role       pollenlog.Role
 }
 
@@ -223,7 +223,7 @@
 		delete(c.replies, token)
 		reply(pollencontrol.Answer{Verdict: pollencontrol.VerdictUnknown, Reason: "data folder failed"})
 	}
-	c.setLeader(now, netip.AddrPort{}, pollenlog.RoleFollower, 0)
+	c.setLeader(now, pollenpeer.Leadership{}, pollenlog.RoleFollower)
 }
 
 // step passes an event to the node and executes the resulting actions in order. If
@@ -262,26 +262,26 @@
 func (c *control) publish(now time.Time) {
 	s := c.node.LogStatus()
 	r, _ := s.Membership.Find(s.Leader)
-	leader := r.Address
+	l := pollenpeer.Leadership{Leader: r.Address, Term: s.Term, ConfirmedAt: s.LeaderSeen}
 	if s.Role == pollenlog.RoleLeader && !s.HasLease {
-		leader = netip.AddrPort{}
+		l.Leader = netip.AddrPort{}
 	}
-	c.setLeader(now, leader, s.Role, s.Term)
+	c.setLeader(now, l, s.Role)
 	c.balancer.applyCommitted(now, s.Role == pollenlog.RoleLeader, func(known pollenview.Revision) pollenview.Update {
 		return c.node.UpdateSince(known)
 	})
 }
 
-// setLeader notifies the balancer if the leader or this replica's role has changed.
-func (c *control) setLeader(now time.Time, leader netip.AddrPort, role pollenlog.Role, term pollenlog.Term) {
-	if leader.IsValid() {
+// setLeader passes what this replica knows about the leader to the balancer.
+func (c *control) setLeader(now time.Time, l pollenpeer.Leadership, role pollenlog.Role) {
+	if l.Leader.IsValid() {
 		c.leaderSeen = now
 	}
-	if leader == c.leader && role == c.role {
-		return
+	if role != c.role {
+		c.role = role
+		c.balancer.log.Info("role of this replica changed", pollenrecord.Fields{"role": role, "term": l.Term, "leader": l.Leader})
 	}
-	c.leader, c.role = leader, role
-	c.balancer.setLeader(leader, role, term)
+	c.balancer.confirmLeader(now, l)
 }
 
 // requestJoin asks to join the replicas of the log if this replica has known no leader
--- a/pollennode/operator.go
+++ b/pollennode/operator.go
@@ -68,18 +68,20 @@
 // and not a change.
 func (b *Balancer) callLeader(ctx context.Context, method pollenlink.Method, body []byte) ([]byte, error) {
 	last := "no leading control host is known"
+	var targets callTargets
 	for tries := 0; ctx.Err() == nil; tries++ {
-		leader := b.Leader()
-		if !leader.IsValid() {
+		target := targets.next(b.Leader(time.Now()), b.otherReplicas())
+		if !target.IsValid() {
 			pause(ctx, leaderPollInterval)
 			continue
 		}
 		if tries > 0 {
 			b.metrics.CountRetry(pollenkernel.RetryCall)
 		}
-		answer, err := b.sendCall(ctx, leader, method, body)
+		answer, err := b.sendCall(ctx, target, method, body)
 		if err != nil {
 			last = err.Error()
+			targets.timedOut(target)
 			continue
 		}
 		switch answer.Result {
@@ -89,12 +91,29 @@
 			return nil, errors.Wrap(ErrRefused, answer.Reason)
 		case pollenlink.ResultRetry:
 			last = answer.Reason
+			if targets.answered(target, &answer) {
+				b.rejectLeader(time.Now(), target)
+			}
 		}
 		pause(ctx, leaderPollInterval)
 	}
 	return nil, errors.Wrap(ErrUndecided, last)
 }
 
+// rejectLeader records that the host at the address answered that it does not lead.
+func (b *Balancer) rejectLeader(now time.Time, address netip.AddrPort) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.leadership.Reject(now, address)
+}
+
+// otherReplicas returns the other hosts that have a replica of the log.
+func (b *Balancer) otherReplicas() []netip.AddrPort {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.disks()
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/pollenpeer/peer.go
+++ b/pollenpeer/peer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pollenstep.example/pollenstep/pollendocument"
+	"pollenstep.example/pollenstep/pollenlog"
 	"pollenstep.example/pollenstep/pollenview"
 )
 
@@ -92,8 +93,12 @@
 // changes.
 type Heartbeat struct {
 	Peer Peer
-	// Leader is the address of the leading control host; invalid if unknown.
-	Leader netip.AddrPort
+	// Leader is the address of the leading control host that the sender knows;
+	// invalid if unknown. Term is the term in which it leads, and LeaderAge the time
+	// since a replica last confirmed that.
+	Leader    netip.AddrPort
+	Term      pollenlog.Term
+	LeaderAge time.Duration
 	// BootstrapHost is the host that bootstraps the control cluster; it is valid
 	// only during the first start of the system.
 	BootstrapHost netip.AddrPort
@@ -111,3 +116,17 @@
 	// LastSeen is when its last heartbeat was received.
 	LastSeen time.Time
 }
+
+// SetLeadership puts what the sender knows about the leader into the heartbeat.
+func (h *Heartbeat) SetLeadership(now time.Time, l Leadership) {
+	h.Leader, h.Term, h.LeaderAge = l.Current(now), l.Term, now.Sub(l.ConfirmedAt)
+	if !h.Leader.IsValid() {
+		h.LeaderAge = 0
+	}
+}
+
+// LeadershipAt returns what the sender of a heartbeat received at now knows about
+// the leader.
+func (h *Heartbeat) LeadershipAt(now time.Time) Leadership {
+	return Leadership{Leader: h.Leader, Term: h.Term, ConfirmedAt: now.Add(-max(0, h.LeaderAge))}
+}
--- a/pollenwire/peer.go
+++ b/pollenwire/peer.go
@@ -9,6 +9,8 @@
 func MapPeerHeartbeat(c *Codec, h *pollenpeer.Heartbeat) {
 	mapPeer(c, &h.Peer)
 	address(c, &h.Leader)
+	unsigned(c, &h.Term)
+	duration(c, &h.LeaderAge)
 	address(c, &h.BootstrapHost)
 	list(c, &h.Balancers, address)
 	list(c, &h.Gates, address)
