Views go to newcomers from the nearest balancer that has one

Cause: after a power loss the nearest of all balancers, which sends a newcomer its view, mostly waits for its own; the others sent theirs after 600 ms only.

--- a/pollennode/base.go
+++ b/pollennode/base.go
@@ -143,12 +143,12 @@
 		since = now
 		b.behindSince[p.Address] = now
 	}
-	near := nearestAtChange
+	near := b.table.IsNearest(p.Address, nearestAtChange)
 	if p.Revision == 0 {
-		near = nearestAtStart
+		relay, _ := b.table.IsRelay(p.Domain)
+		near = relay || b.table.IsNearestHolder(p.Address, nearestAtStart)
 	}
-	relay, _ := b.table.IsRelay(p.Domain)
-	if b.table.IsNearest(p.Address, near) || (relay && p.Revision == 0) || (now.Sub(since) >= laggingTimeout && now.Sub(b.lastUpdate[p.Address]) >= laggingTimeout) {
+	if near || (now.Sub(since) >= laggingTimeout && now.Sub(b.lastUpdate[p.Address]) >= laggingTimeout) {
 		b.sendUpdates(now, *p)
 	}
 }
--- a/pollenpeer/table.go
+++ b/pollenpeer/table.go
@@ -410,6 +410,17 @@
 // domain count. While the tables of balancers differ, more than count of them may
 // report true.
 func (t *Table) IsNearest(a netip.AddrPort, count int) bool {
+	return t.isNearest(a, count, func(*Peer) bool { return true })
+}
+
+// IsNearestHolder is IsNearest among the balancers that have a view. After all
+// processes have restarted at once, few have one, and the nearest of all balancers
+// may wait for it itself.
+func (t *Table) IsNearestHolder(a netip.AddrPort, count int) bool {
+	return t.isNearest(a, count, func(p *Peer) bool { return p.Revision > 0 })
+}
+
+func (t *Table) isNearest(a netip.AddrPort, count int, counts func(p *Peer) bool) bool {
 	domain := t.self.Domain
 	if e := t.peers[a]; e != nil && t.relayed {
 		domain = e.Peer.Domain
@@ -420,7 +431,8 @@
 	own := distance(t.self.Address, a)
 	nearer := 0
 	for _, b := range t.balancers {
-		if (!t.relayed || t.peers[b].Peer.Domain == domain) && distance(b, a) < own {
+		p := &t.peers[b].Peer
+		if (!t.relayed || p.Domain == domain) && counts(p) && distance(b, a) < own {
 			nearer++
 		}
 	}
--- a/pollenpeer/table_test.go
+++ b/pollenpeer/table_test.go
@@ -123,6 +123,31 @@
 	}
 }
 
+// TestNewcomersGetTheirViewFromWhoHasOne guards against processes that wait for their
+// view after a power loss, while the balancers nearest to them wait for theirs.
+func TestNewcomersGetTheirViewFromWhoHasOne(t *testing.T) {
+	const balancers, holders = 20, 2
+	for a := 100; a < 140; a++ {
+		senders := 0
+		for self := 1; self <= holders; self++ {
+			tb := pollenpeer.NewTable(pollenpeer.Peer{Address: address(self), Role: pollenpeer.RoleBalancer, Revision: 1}, nil)
+			for n := 1; n <= balancers; n++ {
+				h := heartbeat(n, 1)
+				if n <= holders {
+					h.Peer.Revision = 1
+				}
+				tb.Receive(startTime, h)
+			}
+			if tb.IsNearestHolder(address(a), 1) {
+				senders++
+			}
+		}
+		if senders != 1 {
+			t.Errorf("%d of the %d balancers with a view send it to %s; want 1", senders, holders, address(a))
+		}
+	}
+}
+
 // TestRestarted guards against taking the restart of some processes for a
 // restart of the whole system, as after a power loss: flows that still exist
 // would be reset.
