Only the first relay passes on changes between its regular rounds

Cause: 128 datagrams of changes from both relays of a domain after a restart of all hosts; the second one mostly has a thin link. More changes fit in one round.

--- a/pollenpeer/relay.go
+++ b/pollenpeer/relay.go
@@ -28,7 +28,7 @@
 	// datagrams may be lost.
 	changeRepeats = 3
 	// maxChanges bounds the changes that are passed on in one round.
-	maxChanges = 64
+	maxChanges = 128
 	// maxUnheard bounds the peers in one list of those that are not heard.
 	maxUnheard = 128
 	// factTimeout is how long a peer is known without a heartbeat of its own or a
@@ -243,7 +243,7 @@
 
 // NextRound returns what this process sends as a relay now. ok is false if it is
 // no relay or if nothing is due: a round is due after each HeartbeatInterval, and at
-// once when a peer has changed.
+// the first relay of a failure domain at once when a peer has changed.
 func (t *Table) NextRound(now time.Time) (r Round, ok bool) {
 	if !t.relayed || t.self.Role != RoleBalancer {
 		return Round{}, false
@@ -255,7 +255,7 @@
 		return Round{}, false
 	}
 	regular := !now.Before(t.nextRound)
-	if !regular && !t.changesPending() {
+	if !regular && !(t.isFirstRelay() && t.changesPending()) {
 		return Round{}, false
 	}
 	if len(domains) > 0 {
@@ -285,6 +285,16 @@
 	return r, true
 }
 
+// isFirstRelay reports whether this process is the first relay of a failure domain.
+func (t *Table) isFirstRelay() bool {
+	for domain := range t.relays {
+		if _, first := t.IsRelay(domain); first {
+			return true
+		}
+	}
+	return false
+}
+
 // changesPending reports whether a change was not passed on yet.
 func (t *Table) changesPending() bool {
 	for _, e := range t.peers {
