--- a/pollenpeer/relay.go
+++ b/pollenpeer/relay.go
@@ -255,7 +255,7 @@
 		return Round{}, false
 	}
 	regular := !now.Before(t.nextRound)
-	if !regular && !(t.isFirstRelay() && t.changesPending()) {
+	if !regular && (!t.isFirstRelay() || !t.changesPending()) {
 		return Round{}, false
 	}
 	if len(domains) > 0 {
--- a/pollenrecord/record.go
+++ b/pollenrecord/record.go
@@ -34,6 +34,8 @@
 	log     *logrus.Entry
 	lines   chan []byte
 	dropped atomic.Int64
+	// unwritten is the number of lines that were queued and are not written yet.
+	unwritten atomic.Int64
 
 	// mu guards the token bucket for decisions (tokens, refilledAt) and the
 	// state of ReportDropped.
@@ -58,6 +60,7 @@
 		for line := range r.lines {
 			// There is no other place to report a failed write of the log.
 			_, _ = out.Write(line)
+			r.unwritten.Add(-1)
 		}
 	}()
 	return r
@@ -66,9 +69,11 @@
 // Write implements io.Writer for the underlying log. It queues one line, or drops
 // and counts the line when the queue is full, and never returns an error.
 func (r *Logger) Write(line []byte) (int, error) {
+	r.unwritten.Add(1)
 	select {
 	case r.lines <- append([]byte(nil), line...):
 	default:
+		r.unwritten.Add(-1)
 		r.dropped.Add(1)
 	}
 	return len(line), nil
@@ -123,11 +128,11 @@
 	}
 }
 
-// Close waits until the queue is empty, at most for the limit. The Logger can
-// still be used afterwards.
+// Close waits until every queued line is written, at most for the limit. The Logger
+// can still be used afterwards.
 func (r *Logger) Close(limit time.Duration) {
 	const pollInterval = 5 * time.Millisecond
-	for waited := time.Duration(0); len(r.lines) > 0 && waited < limit; waited += pollInterval {
+	for waited := time.Duration(0); r.unwritten.Load() > 0 && waited < limit; waited += pollInterval {
 		time.Sleep(pollInterval)
 	}
 }
--- a/pollenrecord/record_test.go
+++ b/pollenrecord/record_test.go
@@ -68,3 +68,33 @@
 		t.Fatalf("%d lines were refused, but %d counted as dropped", 10_000-allowed, r.Dropped())
 	}
 }
+
+// A slowWriter takes a while for each line, like a pipe whose reader is busy.
+type slowWriter struct {
+	mu      sync.Mutex
+	written int
+}
+
+func (s *slowWriter) Write(line []byte) (int, error) {
+	time.Sleep(20 * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.written++
+	return len(line), nil
+}
+
+// TestCloseWaitsForTheLastLine guards against a process that ends while its last line
+// is being written: no planned stop had the line that it has stopped.
+func TestCloseWaitsForTheLastLine(t *testing.T) {
+	out := &slowWriter{}
+	log := pollenrecord.New(out, logrus.InfoLevel, nil)
+	log.Info("stopped", nil)
+	// The writer takes the line out of the queue before it writes it.
+	time.Sleep(5 * time.Millisecond)
+	log.Close(10 * time.Second)
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	if out.written != 1 {
+		t.Fatal("the last line is lost at a stop")
+	}
+}
