The mean time of a request leaves out its wait for a slot

Cause: the gate measured a request from its arrival, so that under load the mean grew with the queue; the expected wait and the reserve of two request times grew with it, new requests were declined that could be served in time, and came back as late retransmissions.

--- a/pollengate/admit_test.go
+++ b/pollengate/admit_test.go
@@ -37,6 +37,44 @@
 	want(t, sendOpening(g, startTime.Add(600*time.Millisecond), 99, 2, 9), pollengate.VerdictDeliver, "")
 }
 
+// Under a wave of requests some wait for a slot. If the gate took that wait for the
+// time of a request, it would expect every further wait to be longer, decline
+// requests that it could serve in time, and leave them to late retransmissions. In
+// every burst it must admit the requests that are answered within the objective less
+// the two request times that it keeps in reserve.
+func TestQueueDoesNotShrinkTheQueue(t *testing.T) {
+	g := newReadyGate(0, 0)
+	const (
+		service   = 30 * time.Millisecond
+		objective = 150 * time.Millisecond
+	)
+	least := slots * int((objective-2*service)/service)
+	burst := func(now time.Time, first int) (admitted []uint16) {
+		for i := range 20 {
+			port := uint16(first + i)
+			if sendOpening(g, now, port, 0, 9).Verdict == pollengate.VerdictDeliver {
+				answerOpening(g, now, port)
+				sendPacket(g, now, port, pollenlink.KindPass, 501, 10)
+				admitted = append(admitted, port)
+			}
+		}
+		return admitted
+	}
+	now := startTime
+	for round := range 10 {
+		admitted := burst(now, 100*round)
+		if len(admitted) < least {
+			t.Fatalf("burst %d: %d requests admitted; want at least %d", round, len(admitted), least)
+		}
+		for i, port := range admitted {
+			at := now.Add(time.Duration(i/slots+1) * service)
+			g.HandleServerPacket(at, &pollenpacket.Packet{Flow: flow(port), ACK: true, Sequence: 501, Size: 10})
+		}
+		now = now.Add(time.Second)
+		g.HandleReport(now, report(pollenpeer.ServerReady, uint64(round+2)))
+	}
+}
+
 // After an outage, requests that waited for its end are already late. If they
 // took the free slots, new requests would be late too. The gate must decline
 // them for as long as it has recently declined new requests.
--- a/pollengate/flow.go
+++ b/pollengate/flow.go
@@ -21,8 +21,10 @@
 // A flow is the state that a gate tracks for one flow.
 type flow struct {
 	stage stage
-	// stageStart is when the current stage began.
+	// stageStart is when the current stage began. ahead is the number of requests
+	// that were waiting for a slot then, this one included.
 	stageStart time.Time
+	ahead      int
 	// lastUsed is when the last packet of the flow arrived, in either direction.
 	lastUsed time.Time
 	// callerNext is the sequence number after the last byte that the caller sent.
@@ -83,9 +85,18 @@
 	}
 	if f.stage != s {
 		f.stage, f.stageStart = s, now
+		f.ahead = max(0, g.running-g.slots())
 	}
 }
 
+// serviceTime estimates how long the request of the flow ran, without the time for
+// which it waited for a slot behind others. With the wait, the mean would grow with
+// the queue, and the gate would decline requests that it could serve in time.
+func (g *Gate) serviceTime(now time.Time, f *flow) time.Duration {
+	slots := time.Duration(g.slots())
+	return now.Sub(f.stageStart) * slots / (slots + time.Duration(f.ahead))
+}
+
 // remove stops tracking a flow. The flow need not be tracked.
 func (g *Gate) remove(now time.Time, f pollenpacket.Flow) {
 	if tracked := g.flows[f]; tracked != nil {
--- a/pollengate/gate.go
+++ b/pollengate/gate.go
@@ -112,7 +112,8 @@
 	meanRunning meanCount
 	// starts counts the flows opened and the requests started in the last second.
 	starts eventWindow
-	// requestTime is the mean time from a request to the start of its response.
+	// requestTime is the mean time from the start of a request at the backend server
+	// to the start of its response.
 	requestTime meanDuration
 	silence     silence
 	failures    failureRate
@@ -216,7 +217,7 @@
 	if f.stage == stageRunning && (p.Size > 0 || p.RST) {
 		g.failures.add(now, p.ServerError || p.RST)
 		if !p.ServerError && !p.RST {
-			g.requestTime.add(now.Sub(f.stageStart))
+			g.requestTime.add(g.serviceTime(now, f))
 		}
 	}
 	if p.Size > 0 {
