--- a/pollennode/balancer.go
+++ b/pollennode/balancer.go
@@ -256,8 +256,9 @@
 	// relays are, is answered like a newcomer.
 	unaware := b.table.Relayed() && !heartbeat.Relayed || b.table.Misdirected(heartbeat)
 	expectsReply := !b.table.Relayed() && (heartbeat.Report || peer.Role == pollenpeer.RoleGate)
-	if newcomer || ((unaware || expectsReply) && b.table.ReplyDue(now, peer.Address)) {
-		b.reply(now, peer, newcomer || unaware)
+	lacking := heartbeat.Incomplete && b.table.SnapshotDue(now, peer.Address)
+	if newcomer || lacking || ((unaware || expectsReply) && b.table.ReplyDue(now, peer.Address)) {
+		b.reply(now, peer, newcomer || unaware || lacking)
 	}
 	if b.table.TakeNewCandidates() && now.Sub(b.startTime) < discoveryTime {
 		b.sendDueHeartbeats(now)
--- a/pollennode/tick.go
+++ b/pollennode/tick.go
@@ -26,7 +26,7 @@
 		b.log.Info("peer lost", peerFields(&p))
 	}
 	b.steer.Sweep(now)
-	b.steer.SetRelayed(b.table.FreshAge(), b.table.VouchedDomains(now))
+	b.steer.SetRelayed(b.table.FreshAge(), b.table.Complete(now))
 	b.updateRestarted(now)
 	for _, p := range b.steer.TakeLostFlows(now) {
 		b.sendReset(&p)
--- a/pollenpeer/fact.go
+++ b/pollenpeer/fact.go
@@ -27,8 +27,13 @@
 	Relay  netip.AddrPort
 	Domain pollendocument.DomainName
 	// Age is the time since the relay made the statement.
-	Age     time.Duration
-	Unheard []netip.AddrPort
+	Age time.Duration
+	// Unheard lists known peers that the relay does not hear, and Gone those that it
+	// has removed lately.
+	Unheard, Gone []netip.AddrPort
+	// Gates is the sum of the hashes of the gates that the relay hears, by which a
+	// receiver finds out whether it knows all of them.
+	Gates uint64
 }
 
 // A vouchKey identifies the statements of which only the newest is kept.
@@ -39,8 +44,8 @@
 
 // A heldVouch is a Vouch with the time at which the relay made it.
 type heldVouch struct {
-	madeAt  time.Time
-	unheard []netip.AddrPort
+	Vouch
+	madeAt time.Time
 }
 
 // MergeFacts records what another process passes on about peers, and returns the
@@ -97,41 +102,94 @@
 		if v.Relay == t.self.Address || !madeAt.After(t.vouches[key].madeAt) {
 			continue
 		}
-		t.vouches[key] = heldVouch{madeAt: madeAt, unheard: v.Unheard}
+		t.vouches[key] = heldVouch{Vouch: *v, madeAt: madeAt}
 		for _, e := range t.peers {
-			if e.Peer.Domain == v.Domain && !slices.Contains(v.Unheard, e.Peer.Address) {
+			if v.includes(e) {
 				e.LastSeen = later(e.LastSeen, madeAt)
 			}
 		}
 	}
 }
 
-// VouchedDomains reports whether a relay recently vouched for every failure domain
-// that has or recently had gates, so that no gate is missing in this table. Without relays it
-// returns true.
-func (t *Table) VouchedDomains(now time.Time) bool {
-	if !t.relayed {
-		return true
-	}
-	vouched := map[pollendocument.DomainName]bool{}
-	for key, v := range t.vouches {
-		if now.Sub(v.madeAt) < t.FreshAge() {
-			vouched[key.domain] = true
+// includes reports whether the relay states that it hears the peer.
+func (v *Vouch) includes(e *Entry) bool {
+	return e.Peer.Domain == v.Domain && !slices.Contains(v.Unheard, e.Peer.Address) && !slices.Contains(v.Gone, e.Peer.Address)
+}
+
+// gateSum returns the sum of the hashes of the known gates that the statement
+// includes.
+func (t *Table) gateSum(v *Vouch) uint64 {
+	var sum uint64
+	for a, e := range t.peers {
+		if e.Peer.Role == RoleGate && v.includes(e) {
+			sum += hashOf(a, "")
 		}
 	}
-	for domain, relays := range t.relays {
-		vouched[domain] = vouched[domain] || slices.Contains(relays, t.self.Address)
+	return sum
+}
+
+// Complete reports whether this process knows every gate: in each failure domain
+// that has or recently had gates, a relay must have vouched lately for exactly the
+// gates that are known here. Without relays it returns true.
+func (t *Table) Complete(now time.Time) bool {
+	complete := !t.relayed || t.allDomainsComplete(now)
+	switch {
+	case complete:
+		t.incompleteSince = time.Time{}
+	case t.incompleteSince.IsZero():
+		t.incompleteSince = now
 	}
+	return complete
+}
+
+func (t *Table) allDomainsComplete(now time.Time) bool {
+	pending := map[pollendocument.DomainName]bool{}
 	for _, e := range t.peers {
-		if e.Peer.Role == RoleGate && !vouched[e.Peer.Domain] {
-			return false
+		if e.Peer.Role == RoleGate {
+			pending[e.Peer.Domain] = true
 		}
 	}
 	for _, g := range t.gone {
-		if g.role == RoleGate && !vouched[g.domain] {
+		if g.role == RoleGate {
+			pending[g.domain] = true
+		}
+	}
+	for key, v := range t.vouches {
+		if pending[key.domain] && now.Sub(v.madeAt) < RelayedFreshAge && t.matches(&v.Vouch) {
+			delete(pending, key.domain)
+		}
+	}
+	if len(pending) > 0 {
+		// A relay itself hears what the statements are made of.
+		for _, v := range t.ownVouches(now) {
+			delete(pending, v.Domain)
+		}
+	}
+	return len(pending) == 0
+}
+
+// matches reports whether the known gates are those that the relay hears, and the
+// peers that it does not hear are known as well.
+func (t *Table) matches(v *Vouch) bool {
+	for _, a := range v.Unheard {
+		if t.peers[a] == nil && a != t.self.Address {
 			return false
 		}
 	}
+	return t.gateSum(v) == v.Gates
+}
+
+// SnapshotDue reports whether the peer at the address, which says that it lacks
+// peers, is to be sent a snapshot by this process, at most every snapshotInterval.
+func (t *Table) SnapshotDue(now time.Time, a netip.AddrPort) bool {
+	e := t.peers[a]
+	if e == nil || now.Sub(e.snapshotAt) < snapshotInterval {
+		return false
+	}
+	if relay, _ := t.IsRelay(e.Peer.Domain); !relay {
+		return false
+	}
+	e.snapshotAt = now
 	return true
 }
 
@@ -167,11 +225,12 @@
 		}
 		for a, g := range t.gone {
 			if g.domain == domain {
-				v.Unheard = append(v.Unheard, a)
+				v.Gone = append(v.Gone, a)
 			}
 		}
-		slices.SortFunc(v.Unheard, netip.AddrPort.Compare)
-		v.Unheard = v.Unheard[:min(len(v.Unheard), maxUnheard)]
+		slices.SortFunc(v.Gone, netip.AddrPort.Compare)
+		v.Unheard, v.Gone = v.Unheard[:min(len(v.Unheard), maxUnheard)], v.Gone[:min(len(v.Gone), maxUnheard)]
+		v.Gates = t.gateSum(&v)
 		own = append(own, v)
 	}
 	return own
@@ -186,9 +245,11 @@
 // heldVouches returns the recent statements of all relays, this process included.
 func (t *Table) heldVouches(now time.Time) []Vouch {
 	all := t.ownVouches(now)
-	for key, v := range t.vouches {
+	for _, v := range t.vouches {
 		if age := now.Sub(v.madeAt); age < RelayedFreshAge {
-			all = append(all, Vouch{Relay: key.relay, Domain: key.domain, Age: age, Unheard: v.unheard})
+			passed := v.Vouch
+			passed.Age = age
+			all = append(all, passed)
 		}
 	}
 	slices.SortFunc(all, func(a, b Vouch) int {
--- a/pollenpeer/peer.go
+++ b/pollenpeer/peer.go
@@ -114,6 +114,8 @@
 	// Relayed is set if the sender sends its heartbeats to relays only, and Report if
 	// this one is sent to the receiver as a relay of the sender.
 	Relayed, Report bool
+	// Incomplete is set if the sender lacks gates that a relay vouches for.
+	Incomplete bool
 	// Unheard lists balancers that the sender expects heartbeats from and receives
 	// none.
 	Unheard []netip.AddrPort
@@ -139,6 +141,8 @@
 	// MissesSelf is set if the peer stated in its last heartbeat that it receives none
 	// from this process.
 	MissesSelf bool
+	// snapshotAt is when the peer was last sent a snapshot because it lacked peers.
+	snapshotAt time.Time
 	// passes is the number of rounds in which the peer is still passed on as changed.
 	passes int
 }
--- a/pollenpeer/relay.go
+++ b/pollenpeer/relay.go
@@ -32,8 +32,17 @@
 	// maxUnheard bounds the peers in one list of those that are not heard.
 	maxUnheard = 128
 	// factTimeout is how long a peer is known without a heartbeat of its own or a
-	// fact about it: longer than factRounds rounds.
-	factTimeout = 20 * time.Second
+	// newer fact about it: several times what a fact takes over two relays that pass
+	// it on once in factRounds rounds, since datagrams may be lost.
+	factTimeout = 60 * time.Second
+	// goneTimeout is how long others are told of a peer that has expired: until it
+	// has expired there too.
+	goneTimeout = 2 * PeerTimeout
+	// incompleteTimeout is how long a process lacks peers that a relay vouches for
+	// until it asks for a snapshot; what has just changed arrives by itself.
+	// snapshotInterval is the time between two snapshots to the same peer.
+	incompleteTimeout = 2 * HeartbeatInterval
+	snapshotInterval  = time.Second
 	// silentRelayPeriod is how long a relay that did not answer is not used again,
 	// unless it sends a heartbeat.
 	silentRelayPeriod = 5 * time.Second
--- a/pollenpeer/relay_test.go
+++ b/pollenpeer/relay_test.go
@@ -148,34 +148,105 @@
 	}
 }
 
+// vouchesOf returns the heartbeats of one relay of each of the first count domains,
+// which hears all of its domain.
+func vouchesOf(now time.Time, sequence uint64, all []pollenpeer.Peer, count int) []pollenpeer.Heartbeat {
+	var heartbeats []pollenpeer.Heartbeat
+	const size = balancersInDomain + gatesInDomain
+	for d := range count {
+		domain := all[d*size : (d+1)*size]
+		relay := largeTable(now, domain[0], all)
+		relay.ReportTargets(now)
+		hear(relay, now, 2, true, domain[1:]...)
+		r, _ := relay.NextRound(now)
+		h := pollenpeer.Heartbeat{Peer: domain[0], Relayed: true, Vouches: r.Own}
+		h.Peer.Sequence = sequence
+		heartbeats = append(heartbeats, h)
+	}
+	return heartbeats
+}
+
+func receive(tb *pollenpeer.Table, now time.Time, heartbeats []pollenpeer.Heartbeat) {
+	for i := range heartbeats {
+		tb.Receive(now, &heartbeats[i])
+		tb.MergeVouches(now, &heartbeats[i])
+	}
+}
+
 // TestGatesOfUnvouchedDomainMayBeMissing guards against resetting flows whose gates
 // have expired because no relay of their domain was heard.
 func TestGatesOfUnvouchedDomainMayBeMissing(t *testing.T) {
 	all := members()
 	tb := largeTable(startTime, member(1, 5, pollenpeer.RoleBalancer), all)
-	vouch := func(now time.Time, sequence uint64, count int) {
-		h := pollenpeer.Heartbeat{Peer: all[balancersInDomain+gatesInDomain], Relayed: true}
-		h.Peer.Sequence = sequence
-		for d := range count {
-			h.Vouches = append(h.Vouches, pollenpeer.Vouch{Relay: member(d, 1, "").Address, Domain: domainName(d)})
-		}
-		tb.Receive(now, &h)
-		tb.MergeVouches(now, &h)
-		tb.Expire(now)
-	}
-	vouch(startTime, 2, domains)
-	if !tb.VouchedDomains(startTime) {
+	receive(tb, startTime, vouchesOf(startTime, 2, all, domains))
+	if !tb.Complete(startTime) {
 		t.Fatal("gates count as missing although a relay vouches for each domain")
 	}
-	for i := range uint64(40) {
-		now := startTime.Add(time.Duration(i) * pollenpeer.HeartbeatInterval)
-		vouch(now, i+3, domains-1)
-		if now.Sub(startTime) >= pollenpeer.RelayedFreshAge && tb.VouchedDomains(now) {
+	for i := range 40 {
+		now := startTime.Add(time.Duration(i+1) * pollenpeer.HeartbeatInterval)
+		receive(tb, now, vouchesOf(now, uint64(i+3), all, domains-1))
+		tb.Expire(now)
+		if now.Sub(startTime) >= pollenpeer.RelayedFreshAge && tb.Complete(now) {
 			t.Fatalf("after %s without its relays no gate of domain %s counts as missing", now.Sub(startTime), domainName(domains-1))
 		}
 	}
 }
 
+// TestMissingGateIsNoticed guards against a newcomer that lacks a gate, because its
+// snapshot was lost, and resets the flows of that gate: no other gate holds them.
+func TestMissingGateIsNoticed(t *testing.T) {
+	all := members()
+	missing := len(all) - 1
+	tb := largeTable(startTime, member(1, 5, pollenpeer.RoleBalancer), all[:missing])
+	receive(tb, startTime, vouchesOf(startTime, 2, all, domains))
+	if tb.Complete(startTime) {
+		t.Fatal("no gate counts as missing although a relay hears one that is not known here")
+	}
+	if tb.NextHeartbeat(startTime).Incomplete {
+		t.Fatal("a snapshot is asked for before the missing gate can arrive by itself")
+	}
+	later := startTime.Add(2 * pollenpeer.HeartbeatInterval)
+	if !tb.NextHeartbeat(later).Incomplete {
+		t.Fatal("the missing gate is not asked for")
+	}
+	tb.MergeFacts(later, factsOf(all[missing:]))
+	if !tb.Complete(later) || tb.NextHeartbeat(later).Incomplete {
+		t.Fatal("gates count as missing although all are known")
+	}
+}
+
+// TestSnapshotIsRepeated guards against a relay that sends the snapshot only once,
+// though it may be lost, and against one that sends it with every heartbeat.
+func TestSnapshotIsRepeated(t *testing.T) {
+	all := members()
+	tb := largeTable(startTime, all[0], all)
+	tb.ReportTargets(startTime)
+	lacking := all[4].Address
+	if !tb.SnapshotDue(startTime, lacking) || tb.SnapshotDue(startTime.Add(pollenpeer.HeartbeatInterval), lacking) {
+		t.Fatal("want a snapshot at once, and none at the next heartbeat")
+	}
+	if !tb.SnapshotDue(startTime.Add(time.Second), lacking) {
+		t.Fatal("no snapshot a second after the last one")
+	}
+	if tb.SnapshotDue(startTime, all[len(all)-1].Address) {
+		t.Fatal("a snapshot is sent to a peer of another failure domain")
+	}
+}
+
+// TestPeerOutlivesItsFacts guards against removing peers that a relay vouches for
+// when newer facts about them are lost: the flows of such gates would be reset.
+func TestPeerOutlivesItsFacts(t *testing.T) {
+	all := members()
+	tb := largeTable(startTime, member(1, 5, pollenpeer.RoleBalancer), all)
+	for i := range 75 {
+		now := startTime.Add(time.Duration(i+1) * pollenpeer.HeartbeatInterval)
+		receive(tb, now, vouchesOf(now, uint64(i+2), all, domains))
+		if expired := tb.Expire(now); len(expired) > 0 {
+			t.Fatalf("%d peers expired after %s, although relays vouch for them", len(expired), now.Sub(startTime))
+		}
+	}
+}
+
 // TestExpiredPeerIsNotBroughtBack guards against peers that are passed on for ever by
 // processes that have not noticed yet that they are gone.
 func TestExpiredPeerIsNotBroughtBack(t *testing.T) {
--- a/pollenpeer/table.go
+++ b/pollenpeer/table.go
@@ -63,6 +63,8 @@
 	// gone holds the peers that have expired, so that others which still pass them on
 	// are not believed.
 	gone map[netip.AddrPort]tombstone
+	// incompleteSince is since when gates are missing in this table; zero if none are.
+	incompleteSince time.Time
 	// nextRound is when the next regular round is due. factOffset and
 	// candidateOffset are the positions of the last peers that were passed on in turn.
 	nextRound                   time.Time
@@ -214,7 +216,7 @@
 		if now.Sub(e.LastSeen) >= PeerTimeout || now.Sub(e.ReceivedAt) >= factTimeout {
 			delete(t.peers, a)
 			delete(t.nextDue, a)
-			t.gone[a] = tombstone{role: e.Peer.Role, domain: e.Peer.Domain, lastSeen: e.LastSeen, until: now.Add(factTimeout)}
+			t.gone[a] = tombstone{role: e.Peer.Role, domain: e.Peer.Domain, lastSeen: e.LastSeen, until: now.Add(goneTimeout)}
 			expired = append(expired, e.Peer)
 		}
 	}
@@ -324,7 +326,10 @@
 // sequence number and advances the sample of balancers.
 func (t *Table) NextHeartbeat(now time.Time) Heartbeat {
 	t.self.Sequence++
-	heartbeat := Heartbeat{Peer: t.self, Relayed: t.relayed, Unheard: t.unheard(now)}
+	heartbeat := Heartbeat{
+		Peer: t.self, Relayed: t.relayed, Unheard: t.unheard(now),
+		Incomplete: !t.incompleteSince.IsZero() && now.Sub(t.incompleteSince) >= incompleteTimeout,
+	}
 	if t.relayed {
 		return heartbeat
 	}
--- a/pollensteer/balancer.go
+++ b/pollensteer/balancer.go
@@ -261,7 +261,7 @@
 func (b *Balancer) HasGate(address netip.AddrPort) bool { return b.gates[address] != nil }
 
 // SetRelayed sets the age up to which a gate's last sign of life counts as current,
-// and whether relays vouch for every failure domain, so that no gate is missing.
+// and whether no gate can be missing.
 func (b *Balancer) SetRelayed(freshAge time.Duration, complete bool) {
 	b.freshAge, b.gatesComplete = freshAge, complete
 }
--- a/pollenwire/peer.go
+++ b/pollenwire/peer.go
@@ -30,6 +30,7 @@
 	list(c, &h.Gates, node)
 	boolean(c, &h.Relayed)
 	boolean(c, &h.Report)
+	boolean(c, &h.Incomplete)
 	list(c, &h.Unheard, node)
 	list(c, &h.Facts, func(c *Codec, f *pollenpeer.Fact) {
 		mapPeer(c, &f.Peer, &n)
@@ -41,6 +42,8 @@
 		name(c, &v.Domain, &n)
 		milliseconds(c, &v.Age)
 		list(c, &v.Unheard, node)
+		list(c, &v.Gone, node)
+		unsigned(c, &v.Gates)
 	})
 }
 
