--- a/pollennode/balancer.go
+++ b/pollennode/balancer.go
@@ -251,6 +251,17 @@
 		b.bootstrapHost = heartbeat.BootstrapHost
 	}
 	b.mergeLeadership(now, heartbeat.LeadershipAt(now), peer.Address)
+	b.answerHeartbeat(now, heartbeat, &before)
+	if b.table.TakeNewCandidates() && now.Sub(b.startTime) < discoveryTime {
+		b.sendDueHeartbeats(now)
+	}
+	b.catchUp(now, peer)
+}
+
+// answerHeartbeat replies to a heartbeat if its sender needs one. before is the
+// sender's entry before the heartbeat was recorded. mu must be held.
+func (b *Balancer) answerHeartbeat(now time.Time, heartbeat *pollenpeer.Heartbeat, before *pollenpeer.Entry) {
+	peer := &heartbeat.Peer
 	newcomer := before.Peer.Incarnation != peer.Incarnation || now.Sub(before.HeardAt) >= pollenpeer.FreshAge
 	// Where heartbeats are relayed, a sender that does not know that yet, or who the
 	// relays are, is answered like a newcomer.
@@ -260,10 +271,6 @@
 	if newcomer || lacking || ((unaware || expectsReply) && b.table.ReplyDue(now, peer.Address)) {
 		b.reply(now, peer, newcomer || unaware || lacking)
 	}
-	if b.table.TakeNewCandidates() && now.Sub(b.startTime) < discoveryTime {
-		b.sendDueHeartbeats(now)
-	}
-	b.catchUp(now, peer)
 }
 
 // recordPeer tells the steering decisions about a peer in the table that has sent a
