--- a/pollenpeer/table.go
+++ b/pollenpeer/table.go
@@ -1,7 +1,6 @@
 package pollenpeer
 
 import (
-	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -201,13 +200,6 @@
 	}
 }
 
-// TakeNewCandidates reports whether candidates were added since the last call.
-func (t *Table) TakeNewCandidates() bool {
-	taken := t.newCandidates
-	t.newCandidates = false
-	return taken
-}
-
 // Expire removes the peers without a sign of life for PeerTimeout and returns them,
 // sorted by address. It also removes expired candidates.
 func (t *Table) Expire(now time.Time) []Peer {
@@ -264,101 +256,6 @@
 	t.updateRelayed()
 }
 
-// DuePeers returns the addresses to send a heartbeat to now, and schedules the
-// next one to each. These are the balancers that this process reports to, unknown
-// seeds and candidates; known gates get their heartbeats as replies. A process that
-// has relays does not look for further balancers.
-func (t *Table) DuePeers(now time.Time) []netip.AddrPort {
-	var due []netip.AddrPort
-	addDue := func(a netip.AddrPort, every time.Duration) {
-		if at, ok := t.nextDue[a]; !ok || !now.Before(at) {
-			t.nextDue[a] = now.Add(every)
-			due = append(due, a)
-		}
-	}
-	targets := t.ReportTargets(now)
-	for _, a := range targets {
-		addDue(a, HeartbeatInterval)
-	}
-	for _, a := range t.seeds {
-		if _, known := t.peers[a]; !known && !t.reporting(now, targets) {
-			addDue(a, t.seedInterval())
-		}
-	}
-	if t.reporting(now, targets) {
-		return due
-	}
-	for _, a := range slices.SortedFunc(maps.Keys(t.candidates), netip.AddrPort.Compare) {
-		addDue(a, HeartbeatInterval)
-	}
-	return due
-}
-
-// reporting reports whether this process is known to the relays that it reports to
-// and need not look for others. Relays themselves do, since they alone find the other
-// part of the system again after a long partition.
-func (t *Table) reporting(now time.Time, targets []netip.AddrPort) bool {
-	if relay, _ := t.IsRelay(t.self.Domain); !t.relayed || relay {
-		return false
-	}
-	return slices.ContainsFunc(targets, func(a netip.AddrPort) bool { return now.Sub(t.peers[a].HeardAt) < FreshAge })
-}
-
-// seedInterval returns the time between two heartbeats to an unknown seed. It is
-// short while no peer is known.
-func (t *Table) seedInterval() time.Duration {
-	if len(t.peers) == 0 {
-		return HeartbeatInterval / 4
-	}
-	return SeedInterval
-}
-
-// MarkSent records that a heartbeat was sent to the address now.
-func (t *Table) MarkSent(now time.Time, a netip.AddrPort) { t.nextDue[a] = now.Add(HeartbeatInterval) }
-
-// ReplyDue reports whether a reply to a gate's heartbeat is due.
-func (t *Table) ReplyDue(now time.Time, a netip.AddrPort) bool {
-	at, ok := t.nextDue[a]
-	return !ok || !now.Before(at)
-}
-
-// NextHeartbeat returns the next heartbeat of this process. It increments the
-// sequence number and advances the sample of balancers.
-func (t *Table) NextHeartbeat(now time.Time) Heartbeat {
-	t.self.Sequence++
-	heartbeat := Heartbeat{
-		Peer: t.self, Relayed: t.relayed, Unheard: t.unheard(now),
-		Incomplete: !t.incompleteSince.IsZero() && now.Sub(t.incompleteSince) >= incompleteTimeout,
-	}
-	if t.relayed {
-		return heartbeat
-	}
-	for range min(maxBalancerSample, len(t.balancers)) {
-		t.sampleOffset = (t.sampleOffset + 1) % len(t.balancers)
-		if a := t.balancers[t.sampleOffset]; now.Sub(t.peers[a].LastSeen) < FreshAge {
-			heartbeat.Balancers = append(heartbeat.Balancers, a)
-		}
-	}
-	return heartbeat
-}
-
-// unheard returns the balancers from which this process expects heartbeats and has
-// received none for FreshAge.
-func (t *Table) unheard(now time.Time) []netip.AddrPort {
-	var unheard []netip.AddrPort
-	for _, a := range t.balancers {
-		e := t.peers[a]
-		since, reported := t.reportedSince[a]
-		if t.relayed && !reported {
-			continue
-		}
-		if !e.HeardAt.IsZero() && now.Sub(later(e.HeardAt, since)) >= FreshAge && len(unheard) < maxUnheard {
-			unheard = append(unheard, a)
-		}
-	}
-	return unheard
-}
-
 // maxGates bounds the gates in the reply to a new balancer.
 const maxGates = 96
 
