A gate that its relays know is not removed, and reports to others reach them

By reading, not by a trace: a gate that its relays do not hear, or that does not hear them, is not vouched for; facts about it come over two relays at intervals of up to 12.8 s, and after 10 s without a sign of life it was removed with its flows. Change: a balancer removes a gate only when a relay of its domain has removed it, or after 60 s without a fact; a balancer that is reported to without being a relay tells the relays. TestExpiredPeerIsNotBroughtBack is played at a relay now, which decides alone; what it checks is the same.

--- a/pollenpeer/fact.go
+++ b/pollenpeer/fact.go
@@ -128,6 +128,22 @@
 	return sum
 }
 
+// removedByRelays reports whether a relay states that it has removed the peer, and
+// none that it still knows it.
+func (t *Table) removedByRelays(now time.Time, e *Entry) bool {
+	removed := false
+	for key, v := range t.vouches {
+		switch {
+		case key.domain != e.Peer.Domain || now.Sub(v.madeAt) >= RelayedFreshAge:
+		case slices.Contains(v.Unheard, e.Peer.Address):
+			return false
+		case slices.Contains(v.Gone, e.Peer.Address):
+			removed = true
+		}
+	}
+	return removed
+}
+
 // Complete reports whether this process knows every gate: in each failure domain
 // that has or recently had gates, a relay must have vouched lately for exactly the
 // gates that are known here. Without relays it returns true.
--- a/pollenpeer/relay.go
+++ b/pollenpeer/relay.go
@@ -234,7 +234,8 @@
 // A Round is what a relay sends at one time.
 type Round struct {
 	// Relays are the relays of all failure domains. They are sent RelayFacts, which
-	// are about the domains that this process is a relay of.
+	// are about the domains that this process is a relay of. A process that is none
+	// but is reported to tells the relays of its own domain about those peers.
 	Relays     []netip.AddrPort
 	RelayFacts []Fact
 	// Balancers are the balancers that report to this process. They are sent
@@ -269,8 +270,14 @@
 	}
 	if len(domains) > 0 {
 		r.Relays = t.Relays()
+	} else if regular {
+		// The relays do not hear the subscribers of a process that is none.
+		r.Relays = slices.Clone(t.relays[t.self.Domain])
 	}
 	for _, e := range subscribers {
+		if len(domains) == 0 {
+			r.RelayFacts = append(r.RelayFacts, e.fact(now))
+		}
 		if e.Peer.Role == RoleGate {
 			r.Gates = append(r.Gates, e.Peer.Address)
 		} else {
--- a/pollenpeer/relay_test.go
+++ b/pollenpeer/relay_test.go
@@ -233,6 +233,51 @@
 	}
 }
 
+// TestUnheardGateIsKept guards against resetting the flows of a gate that its relays
+// know and do not vouch for, because it does not receive what they send.
+func TestUnheardGateIsKept(t *testing.T) {
+	all := members()
+	gate := all[len(all)-1]
+	tb := largeTable(startTime, member(1, 5, pollenpeer.RoleBalancer), all)
+	now := startTime
+	state := func(sequence uint64, list func(v *pollenpeer.Vouch) *[]netip.AddrPort) {
+		now = now.Add(pollenpeer.HeartbeatInterval)
+		heartbeats := vouchesOf(now, sequence, all, domains)
+		last := &heartbeats[domains-1].Vouches[0]
+		*list(last) = append(*list(last), gate.Address)
+		receive(tb, now, heartbeats)
+		tb.Expire(now)
+	}
+	for i := range uint64(40) {
+		state(i+2, func(v *pollenpeer.Vouch) *[]netip.AddrPort { return &v.Unheard })
+	}
+	if _, known := tb.Get(gate.Address); !known {
+		t.Fatalf("after %s a gate is removed that its relay knows", now.Sub(startTime))
+	}
+	state(100, func(v *pollenpeer.Vouch) *[]netip.AddrPort { return &v.Gone })
+	if _, known := tb.Get(gate.Address); known {
+		t.Fatal("a gate is kept that its relay has removed")
+	}
+}
+
+// TestReportsToOthersReachTheRelays guards against relays that remove a peer which
+// reports to another balancer, because it did not get their answers.
+func TestReportsToOthersReachTheRelays(t *testing.T) {
+	all := members()
+	tb := largeTable(startTime, all[7], all)
+	tb.ReportTargets(startTime)
+	gate := all[balancersInDomain+3]
+	hear(tb, startTime, 2, true, gate)
+	r, ok := tb.NextRound(startTime)
+	relays := tb.RelaysOf(domainName(0))
+	if !ok || len(relays) != 2 || !slices.Equal(r.Relays, relays) {
+		t.Fatalf("reports are passed on to %v; want the relays %v", r.Relays, relays)
+	}
+	if len(r.RelayFacts) != 1 || r.RelayFacts[0].Peer.Address != gate.Address {
+		t.Fatalf("%d facts are passed on; want the one about the gate that reports", len(r.RelayFacts))
+	}
+}
+
 // TestPeerOutlivesItsFacts guards against removing peers that a relay vouches for
 // when newer facts about them are lost: the flows of such gates would be reset.
 func TestPeerOutlivesItsFacts(t *testing.T) {
@@ -253,6 +298,8 @@
 	all := members()
 	tb := largeTable(startTime, all[0], all)
 	later := startTime.Add(pollenpeer.PeerTimeout)
+	// A relay decides for its own domain when a gate is gone.
+	tb.ReportTargets(startTime)
 	tb.Expire(later)
 	facts := factsOf(all[60:61])
 	facts[0].Age, facts[0].SeenAge = later.Sub(startTime), later.Sub(startTime)
--- a/pollenpeer/table.go
+++ b/pollenpeer/table.go
@@ -205,7 +205,7 @@
 func (t *Table) Expire(now time.Time) []Peer {
 	var expired []Peer
 	for a, e := range t.peers {
-		if now.Sub(e.LastSeen) >= PeerTimeout || now.Sub(e.ReceivedAt) >= factTimeout {
+		if t.hasExpired(now, e) {
 			delete(t.peers, a)
 			delete(t.nextDue, a)
 			t.gone[a] = tombstone{role: e.Peer.Role, domain: e.Peer.Domain, lastSeen: e.LastSeen, until: now.Add(goneTimeout)}
@@ -240,6 +240,20 @@
 	return expired
 }
 
+// hasExpired reports whether the peer is to be removed. A gate that relays pass on is
+// removed only once they have removed it: they may not hear it in both directions and
+// so not vouch for it, while it serves its flows.
+func (t *Table) hasExpired(now time.Time, e *Entry) bool {
+	if now.Sub(e.ReceivedAt) >= factTimeout {
+		return true
+	}
+	if now.Sub(e.LastSeen) < PeerTimeout {
+		return false
+	}
+	relay, _ := t.IsRelay(e.Peer.Domain)
+	return !t.relayed || relay || e.Peer.Role != RoleGate || t.removedByRelays(now, e)
+}
+
 // rebuild brings order and balancers up to date after a peer was added or removed
 // or has changed its role.
 func (t *Table) rebuild() {
