A process whose relays are all silent asks everybody it knows

Change: while no relay answers, heartbeats go to the seeds and to every known balancer of the own failure domain, each second.

--- a/pollenpeer/relay_test.go
+++ b/pollenpeer/relay_test.go
@@ -336,6 +336,31 @@
 	}
 }
 
+// TestAllRelaysSilent guards against a gate that waits until the relays it knows have
+// expired, when all of them fall silent at once: its relays removed it meanwhile, and
+// the flows at its server were reset.
+func TestAllRelaysSilent(t *testing.T) {
+	all := members()
+	seed := netip.MustParseAddrPort("10.9.0.1:7000")
+	self := all[balancersInDomain]
+	tb := pollenpeer.NewTable(self, []netip.AddrPort{seed})
+	known := all[:4]
+	hear(tb, startTime, 2, false, known...)
+	tb.DuePeers(startTime)
+	hear(tb, startTime, 3, false, known...)
+	later := startTime.Add(2 * pollenpeer.RelayedFreshAge)
+	tb.Expire(later)
+	due := tb.DuePeers(later)
+	if !slices.Contains(due, seed) {
+		t.Errorf("heartbeats due: %v; want the seed among them", due)
+	}
+	for i := range known {
+		if !slices.Contains(due, known[i].Address) {
+			t.Errorf("heartbeats due: %v; want %s among them", due, known[i].Address)
+		}
+	}
+}
+
 // TestMisdirectedReportIsAnswered guards against domains that take former relays of
 // another domain for its relays and so never hear of it again.
 func TestMisdirectedReportIsAnswered(t *testing.T) {
--- a/pollenpeer/schedule.go
+++ b/pollenpeer/schedule.go
@@ -30,13 +30,22 @@
 	for _, a := range targets {
 		addDue(a, HeartbeatInterval)
 	}
+	if t.reporting(now, targets) {
+		return due
+	}
 	for _, a := range t.seeds {
-		if _, known := t.peers[a]; !known && !t.reporting(now, targets) {
+		if _, known := t.peers[a]; !known || t.relayed {
 			addDue(a, t.seedInterval())
 		}
 	}
-	if t.reporting(now, targets) {
-		return due
+	if t.relayed {
+		// No relay answers, and those that were known may have been replaced: any
+		// balancer of the own failure domain names the present ones.
+		for _, a := range t.balancers {
+			if t.peers[a].Peer.Domain == t.self.Domain {
+				addDue(a, SeedInterval)
+			}
+		}
 	}
 	for _, a := range slices.SortedFunc(maps.Keys(t.candidates), netip.AddrPort.Compare) {
 		addDue(a, HeartbeatInterval)
