--- a/pollenemulator/world.go
+++ b/pollenemulator/world.go
@@ -213,8 +213,8 @@
 	return crossDelay, true
 }
 
-// sendToNode delivers a datagram or message of size bytes from one host to another, by calling handle
-// at the other one after the network's delay.
+// sendToNode delivers a datagram or message of size bytes from one host to another, by
+// calling handle at the other one after the network's delay.
 func (w *world) sendToNode(from *host, to netip.AddrPort, size int, handle func(h *host)) {
 	from.sentBytes += size + datagramOverhead
 	h, known := w.nodes[to]
