--- a/pollenpeer/relay.go
+++ b/pollenpeer/relay.go
@@ -111,7 +111,7 @@
 	}
 	var ranked []scored
 	add := func(p *Peer) {
-		ranked = append(ranked, scored{p.Address, relayScore(p.Address, domain), p.LinkRate})
+		ranked = append(ranked, scored{p.Address, hashOf(p.Address, string(domain)), p.LinkRate})
 	}
 	if t.self.Role == RoleBalancer && t.self.Domain == domain && !t.self.Leaving {
 		add(&t.self)
@@ -145,10 +145,6 @@
 	return addresses
 }
 
-func relayScore(a netip.AddrPort, domain pollendocument.DomainName) uint64 {
-	return hashOf(a, string(domain))
-}
-
 func compareDomains(a, b pollendocument.DomainName) int { return strings.Compare(string(a), string(b)) }
 
 // sortedDomains returns the failure domains of this process and its peers.
@@ -303,8 +299,8 @@
 
 // isFirstRelay reports whether this process is the first relay of a failure domain.
 func (t *Table) isFirstRelay() bool {
-	for domain := range t.relays {
-		if _, first := t.IsRelay(domain); first {
+	for _, relays := range t.relays {
+		if relays[0] == t.self.Address {
 			return true
 		}
 	}
