--- a/pollenlink/fragment.go
+++ b/pollenlink/fragment.go
@@ -51,6 +51,15 @@
 // A reassembler joins fragments to messages. It is not safe for concurrent use.
 type reassembler struct {
 	partial map[partialKey]*partialMessage
+	// onIncomplete is called for each message that is given up.
+	onIncomplete func(from netip.AddrPort, m Incomplete)
+}
+
+// An Incomplete describes a message of which fragments were lost.
+type Incomplete struct {
+	Kind Kind
+	// Received of its Fragments have arrived.
+	Received, Fragments int
 }
 
 type partialKey struct {
@@ -59,12 +68,15 @@
 }
 
 type partialMessage struct {
+	kind      Kind
 	parts     [][]byte
 	received  int
 	startTime time.Time
 }
 
-func newReassembler() *reassembler { return &reassembler{partial: map[partialKey]*partialMessage{}} }
+func newReassembler(onIncomplete func(from netip.AddrPort, m Incomplete)) *reassembler {
+	return &reassembler{partial: map[partialKey]*partialMessage{}, onIncomplete: onIncomplete}
+}
 
 // add adds a fragment and returns the message that it completes, decompressed,
 // or nil. A message of one fragment may share the datagram's memory.
@@ -93,7 +105,7 @@
 		if len(r.partial) >= maxPartialMessages {
 			return nil
 		}
-		p = &partialMessage{parts: make([][]byte, count), startTime: now}
+		p = &partialMessage{kind: kindFromCode(datagram[0]), parts: make([][]byte, count), startTime: now}
 		r.partial[key] = p
 	}
 	if count != len(p.parts) || p.parts[index] != nil {
@@ -116,6 +128,7 @@
 	for key, p := range r.partial {
 		if now.Sub(p.startTime) >= reassemblyTimeout {
 			delete(r.partial, key)
+			r.onIncomplete(key.from, Incomplete{Kind: p.kind, Received: p.received, Fragments: len(p.parts)})
 		}
 	}
 }
--- a/pollenlink/link.go
+++ b/pollenlink/link.go
@@ -42,6 +42,9 @@
 	// HandleMalformed handles a malformed datagram of size bytes. reason describes
 	// what is wrong with it.
 	HandleMalformed(now time.Time, from netip.AddrPort, size int, reason string)
+	// HandleIncomplete handles the loss of a message: some of its fragments did not
+	// arrive in time.
+	HandleIncomplete(now time.Time, from netip.AddrPort, m Incomplete)
 }
 
 // Open returns a new Link bound to the address. It returns an error if the
@@ -63,7 +66,7 @@
 func (l *Link) Serve(ctx context.Context, handler Handler) error {
 	stop := context.AfterFunc(ctx, func() { _ = l.conn.Close() })
 	defer stop()
-	fragments := newReassembler()
+	fragments := newReassembler(func(from netip.AddrPort, m Incomplete) { handler.HandleIncomplete(time.Now(), from, m) })
 	buffer := make([]byte, BufferSize)
 	for {
 		n, from, err := l.conn.ReadFromUDPAddrPort(buffer)
--- a/pollenmetric/set.go
+++ b/pollenmetric/set.go
@@ -48,6 +48,8 @@
 	// because they cannot be decoded.
 	EventUndecodableEntry Event = "undecodable-entry"
 	EventSendFailed       Event = "send-failed"
+	// EventMessageIncomplete counts the messages of which fragments were lost.
+	EventMessageIncomplete Event = "message-incomplete"
 	// EventBackendCold counts how often a restart of the backend server is detected.
 	EventBackendCold Event = "backend-cold"
 	// EventLedgerSynced counts the ledger replicas that received the claims of
@@ -63,7 +65,7 @@
 		EventPacketIn, EventPacketOut, EventAnswerIn, EventAnswerOut, EventFlowOpened,
 		EventFlowClosed, EventFlowRestored, EventFlowAbandoned, EventRequest, EventRequestDone,
 		EventClaimGranted, EventAnswerRepeated, EventViewChanged, EventStartedWithoutMajority, EventLeaderElected,
-		EventExpiredLeasesHeld, EventUndecodableEntry, EventSendFailed, EventBackendCold, EventLedgerSynced,
+		EventExpiredLeasesHeld, EventUndecodableEntry, EventSendFailed, EventMessageIncomplete, EventBackendCold, EventLedgerSynced,
 		EventLedgerRetentionElapsed,
 	}
 }
--- a/pollennode/base.go
+++ b/pollennode/base.go
@@ -106,6 +106,16 @@
 	b.countMalformed(now, from, size, reason)
 }
 
+// HandleIncomplete implements pollenlink.Handler.
+func (b *base) HandleIncomplete(now time.Time, from netip.AddrPort, m pollenlink.Incomplete) {
+	b.metrics.CountEvent(pollenmetric.EventMessageIncomplete, 1)
+	if b.log.AllowDecision(now) {
+		b.log.Decision("incomplete message dropped", pollenrecord.Fields{
+			"from": from, "kind": m.Kind, "received": m.Received, "fragments": m.Fragments,
+		})
+	}
+}
+
 // sendHeartbeat sends a heartbeat of this process to the addresses. mu must be
 // held.
 func (b *base) sendHeartbeat(heartbeat *pollenpeer.Heartbeat, to ...netip.AddrPort) {
