--- a/pollencontrol/benchmark_test.go
+++ b/pollencontrol/benchmark_test.go
@@ -26,9 +26,9 @@
 	now := time.Unix(1_000_000, 0)
 	n, err := pollencontrol.NewNode(now, pollencontrol.Config{
 		Log: pollenlog.Config{
-			ID: 1, Address: controlAddress(1), ElectionTimeout: election, HeartbeatInterval: election / 5, Seed: 1, MaxAppendEntries: 64,
+			ID: 1, Address: controlAddress(1), ElectionTimeout: election, HeartbeatInterval: election / 5, Seed: 1, MaxAppendEntries: 64, MaxAppendBytes: 1 << 20,
 		},
-		Codec: pollenwire.ControlCodec{}, Lease: time.Hour, CheckInterval: 100 * time.Millisecond, CompactEvery: 1000,
+		Codec: pollenwire.ControlCodec{}, Lease: time.Hour, CheckInterval: 100 * time.Millisecond, CompactEvery: 1000, CompactBytes: compactBytes,
 		Guard: pollencontrol.HalfGuard{MaxUnguarded: 2}, MaxInlineBytes: 1100, PendingTimeout: 5 * time.Second, Replicas: 1,
 	}, pollenlog.StoredState{Hard: pollenlog.HardState{Term: 1}, Snapshot: pollenlog.Snapshot{
 		Index: 1, Term: 1, Membership: pollenlog.Membership{
--- a/pollencontrol/cluster_test.go
+++ b/pollencontrol/cluster_test.go
@@ -19,6 +19,8 @@
 	election = 500 * time.Millisecond
 	tick     = 20 * time.Millisecond
 	lease    = 2 * time.Second
+	// compactBytes is in bytes.
+	compactBytes = 1 << 20
 )
 
 // host is a control host with the contents of its disk.
@@ -96,9 +98,9 @@
 	node, err := pollencontrol.NewNode(c.now, pollencontrol.Config{
 		Log: pollenlog.Config{
 			ID: h.id, Address: h.address, ElectionTimeout: election, HeartbeatInterval: election / 5,
-			Seed: uint64(h.id) ^ uint64(c.now.UnixNano()), MaxAppendEntries: 64,
+			Seed: uint64(h.id) ^ uint64(c.now.UnixNano()), MaxAppendEntries: 64, MaxAppendBytes: 1 << 20,
 		},
-		Codec: pollenwire.ControlCodec{}, Lease: lease, CheckInterval: 100 * time.Millisecond, CompactEvery: 200,
+		Codec: pollenwire.ControlCodec{}, Lease: lease, CheckInterval: 100 * time.Millisecond, CompactEvery: 200, CompactBytes: compactBytes,
 		Guard: pollencontrol.HalfGuard{MaxUnguarded: 2}, MaxInlineBytes: 1100, PendingTimeout: 5 * time.Second, Replicas: c.size,
 	}, stored)
 	if err != nil {
--- a/pollencontrol/declaration_test.go
+++ b/pollencontrol/declaration_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -32,9 +33,9 @@
 	}
 	node, err := pollencontrol.NewNode(now, pollencontrol.Config{
 		Log: pollenlog.Config{
-			ID: 1, Address: at, ElectionTimeout: time.Second, HeartbeatInterval: 200 * time.Millisecond, MaxAppendEntries: 8,
+			ID: 1, Address: at, ElectionTimeout: time.Second, HeartbeatInterval: 200 * time.Millisecond, MaxAppendEntries: 8, MaxAppendBytes: 1 << 20,
 		},
-		Codec: pollenwire.ControlCodec{}, Lease: time.Second, CheckInterval: time.Second, CompactEvery: 1000,
+		Codec: pollenwire.ControlCodec{}, Lease: time.Second, CheckInterval: time.Second, CompactEvery: 1000, CompactBytes: compactBytes,
 		Guard: pollencontrol.HalfGuard{}, PendingTimeout: time.Second, Replicas: 3, AutoRepair: true,
 	}, stored)
 	if err != nil {
@@ -105,6 +106,21 @@
 	}
 }
 
+// TestLogOfLongDeclarationsIsCompacted guards against a log whose declarations fill a
+// small disk, and the memory of the host, before enough of them cause a snapshot.
+func TestLogOfLongDeclarationsIsCompacted(t *testing.T) {
+	const size = compactBytes * 2 / 5
+	h := newSingleHost(t)
+	for version := range uint64(20) {
+		if a := h.declare(declaration(version+1, strings.Repeat("x", size))); a.Verdict != pollencontrol.VerdictDone {
+			t.Fatalf("version %d answered with %+v", version+1, a)
+		}
+		if s := h.node.LogStatus(); (s.Last-s.Snapshot)*size >= compactBytes+size {
+			t.Fatalf("version %d: the log holds %d declarations of %d bytes; want less than %d bytes", version+1, s.Last-s.Snapshot, size, compactBytes+size)
+		}
+	}
+}
+
 // TestInvalidDeclarationIsRefused checks that a declaration that contradicts
 // itself or lacks a value is refused and does not take effect.
 func TestInvalidDeclarationIsRefused(t *testing.T) {
--- a/pollencontrol/node.go
+++ b/pollencontrol/node.go
@@ -24,8 +24,9 @@
 	// CheckInterval is the time between checks of leases, ledger groups and
 	// replicas.
 	CheckInterval time.Duration
-	// CompactEvery is the number of applied entries between snapshots.
-	CompactEvery int
+	// CompactEvery is the number of applied entries between snapshots, and
+	// CompactBytes the size of their data at which a snapshot is made earlier.
+	CompactEvery, CompactBytes int
 	// Guard prevents the removal of members when too many leases expire at once.
 	Guard ExpiryGuard
 	// MaxInlineBytes is the maximum size of the encoded update in a notice. A
@@ -86,7 +87,10 @@
 	// that is not yet applied, or zero.
 	proposedIndex  pollenlog.Index
 	compactedIndex pollenlog.Index
-	lastToken      pollenlog.Token
+	// uncompactedBytes is the size of the data of the applied entries after
+	// compactedIndex.
+	uncompactedBytes int
+	lastToken        pollenlog.Token
 
 	now     time.Time
 	actions []Action
@@ -224,6 +228,7 @@
 func (n *Node) apply(entries []pollenlog.Entry) {
 	from := n.replica.Revision()
 	for _, e := range entries {
+		n.uncompactedBytes += len(e.Data)
 		command := pollenview.Command{Kind: pollenview.CommandNone}
 		if e.Kind == pollenlog.EntryCommand && len(e.Data) > 0 {
 			decoded, err := n.config.Codec.DecodeCommand(e.Data)
@@ -263,17 +268,17 @@
 	}
 	view.Revision = pollenview.Revision(s.Index)
 	n.replica.ApplyUpdate(pollenview.Update{Full: view})
-	n.compactedIndex = s.Index
+	n.compactedIndex, n.uncompactedBytes = s.Index, 0
 }
 
 // compact replaces the applied entries of the log by a snapshot every
-// CompactEvery entries.
+// CompactEvery entries or CompactBytes.
 func (n *Node) compact() {
 	applied := n.log.Status().Applied
-	if int(applied-n.compactedIndex) < n.config.CompactEvery {
+	if int(applied-n.compactedIndex) < n.config.CompactEvery && n.uncompactedBytes < n.config.CompactBytes {
 		return
 	}
-	n.compactedIndex = applied
+	n.compactedIndex, n.uncompactedBytes = applied, 0
 	data := n.config.Codec.EncodeView(n.replica.View())
 	n.stepLog(pollenlog.Compact{Index: applied, Data: data})
 }
--- a/pollenlink/fragment.go
+++ b/pollenlink/fragment.go
@@ -11,8 +11,8 @@
 	// fragmentSize is the maximum payload of a fragment in bytes. With the headers
 	// of UDP, IP and this package it stays below 1,280, the minimum MTU of IPv6.
 	fragmentSize = 1200
-	// MaxMessageSize bounds a message in bytes; a document of 4,000 routes fits.
-	MaxMessageSize = 1 << 20
+	// MaxMessageSize bounds a message in bytes; a document of 12,000 routes fits twice.
+	MaxMessageSize = 8 << 20
 	// reassemblyTimeout is the maximum wait for the missing fragments of a message.
 	reassemblyTimeout = time.Second
 	// maxPartialMessages bounds the messages with missing fragments.
--- a/pollenlog/cluster_test.go
+++ b/pollenlog/cluster_test.go
@@ -15,6 +15,7 @@
 	electionTimeout   = 500 * time.Millisecond
 	heartbeatInterval = 100 * time.Millisecond
 	tickInterval      = 20 * time.Millisecond
+	maxAppendBytes    = 1000
 )
 
 // testReplica is a Node with the state on its simulated disk.
@@ -47,6 +48,8 @@
 	// of the request.
 	minReadIndex map[pollenlog.Token]pollenlog.Index
 	token        pollenlog.Token
+	// onSend is nil, or called for each message that is sent.
+	onSend func(m pollenlog.Message)
 	// seed makes the random election timeouts differ between schedules.
 	seed uint64
 }
@@ -82,7 +85,7 @@
 	stored.Entries = append([]pollenlog.Entry(nil), stored.Entries...)
 	r.node = pollenlog.NewNode(c.now, pollenlog.Config{
 		ID: r.id, Address: replicaAddress(r.id), ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeatInterval,
-		Seed: c.seed ^ uint64(c.now.UnixNano()), MaxAppendEntries: 8,
+		Seed: c.seed ^ uint64(c.now.UnixNano()), MaxAppendEntries: 8, MaxAppendBytes: maxAppendBytes,
 	}, stored)
 	r.applied = nil
 	r.snapshotIndex = stored.Snapshot.Index
@@ -96,6 +99,9 @@
 			persist(&r.disk, a)
 		case pollenlog.Send:
 			c.inFlight = append(c.inFlight, a.Message)
+			if c.onSend != nil {
+				c.onSend(a.Message)
+			}
 		case pollenlog.Apply:
 			c.apply(r, a.Entries)
 		case pollenlog.Restore:
--- a/pollenlog/node_test.go
+++ b/pollenlog/node_test.go
@@ -1,6 +1,7 @@
 package pollenlog_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -197,12 +198,44 @@
 	})
 }
 
+// TestLongEntriesAreSentInParts guards against append messages that no receiver takes:
+// a follower that had missed four documents of 1,640 routes got all of them in one
+// message of more than the maximum size, again and again.
+func TestLongEntriesAreSentInParts(t *testing.T) {
+	runScenario(t, 3, func(c *testCluster) {
+		l := c.currentLeader()
+		lagging := c.replicas[0]
+		if lagging == l {
+			lagging = c.replicas[1]
+		}
+		lagging.isolated = true
+		for _, size := range []int{400, 400, 400, 3 * maxAppendBytes, 400, 10, 10, 10} {
+			c.propose(l, strings.Repeat("x", size))
+			c.run(tickInterval)
+		}
+		lagging.isolated = false
+		c.onSend = func(m pollenlog.Message) {
+			size := 0
+			for _, e := range m.Entries {
+				size += len(e.Data)
+			}
+			if len(m.Entries) > 1 && size > maxAppendBytes {
+				c.t.Fatalf("%d entries of %d bytes in one message; want at most %d bytes", len(m.Entries), size, maxAppendBytes)
+			}
+		}
+		c.run(4 * electionTimeout)
+		if got, want := lagging.node.Status().Applied, l.node.Status().Applied; got != want {
+			c.t.Fatalf("replica applied up to index %d, want %d, after it missed long entries", got, want)
+		}
+	})
+}
+
 // BenchmarkPropose measures a proposal of 200 bytes at the only replica of a
 // cluster, with a compaction after every 1000 proposals.
 func BenchmarkPropose(b *testing.B) {
 	now := time.Unix(1_000_000, 0)
 	n := pollenlog.NewNode(now, pollenlog.Config{
-		ID: 1, Address: replicaAddress(1), ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeatInterval, Seed: 1, MaxAppendEntries: 64,
+		ID: 1, Address: replicaAddress(1), ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeatInterval, Seed: 1, MaxAppendEntries: 64, MaxAppendBytes: 1 << 20,
 	}, pollenlog.StoredState{Hard: pollenlog.HardState{Term: 1}, Snapshot: pollenlog.Snapshot{Index: 1, Term: 1, Membership: pollenlog.Membership{
 		Replicas: []pollenlog.Replica{{ID: 1, Address: replicaAddress(1), Voter: true}},
 	}}})
--- a/pollenlog/replicate.go
+++ b/pollenlog/replicate.go
@@ -130,17 +130,29 @@
 		p.probing = true
 		return
 	}
-	last := min(n.lastIndex(), previous+Index(n.config.MaxAppendEntries))
-	entries := n.entriesBetween(p.next, last)
+	entries := n.nextEntries(p.next)
 	n.send(id, Message{
 		Kind: MessageAppend, Index: previous, LogTerm: n.termAt(previous),
 		Entries: entries, Commit: n.commit,
 	})
 	if !p.probing {
-		p.next = last + 1
+		p.next += Index(len(entries))
 	}
 }
 
+// nextEntries returns the entries from first on that one message holds.
+func (n *Node) nextEntries(first Index) []Entry {
+	entries := n.entriesBetween(first, min(n.lastIndex(), first-1+Index(n.config.MaxAppendEntries)))
+	size := 0
+	for i := range entries {
+		size += len(entries[i].Data)
+		if i > 0 && size > n.config.MaxAppendBytes {
+			return entries[:i]
+		}
+	}
+	return entries
+}
+
 func (n *Node) handleAppend(m Message) {
 	// Compacted entries are committed, so this log matches the leader's up to
 	// the commit index.
--- a/pollenlog/types.go
+++ b/pollenlog/types.go
@@ -269,6 +269,9 @@
 	Seed uint64
 	// MaxAppendEntries is the largest number of entries in one message.
 	MaxAppendEntries int
+	// MaxAppendBytes is the size of the data at which a message takes no further
+	// entry. A message holds at least one entry of any size.
+	MaxAppendBytes int
 }
 
 // A StoredState is the state that a replica reads from its disk at start.
--- a/pollennode/control.go
+++ b/pollennode/control.go
@@ -25,9 +25,14 @@
 	heartbeatsPerElection = 5
 	// maxAppendEntries is the maximum number of entries in one append message.
 	maxAppendEntries = 16
-	// compactEvery is the number of entries after which the log is compacted. It
-	// bounds the documents that the log holds at once.
+	// maxAppendBytes is the size of the entries at which an append message takes no
+	// further one. With the longest document on top it fits pollenlink.MaxMessageSize.
+	maxAppendBytes = 1 << 20
+	// compactEvery is the number of entries and compactBytes the size of their data
+	// after which the log is compacted. They bound the memory and the disk space that
+	// documents take.
 	compactEvery = 24
+	compactBytes = 4 << 20
 	// checkInterval is the interval of the leader's periodic checks.
 	checkInterval = 250 * time.Millisecond
 	// pendingTimeout bounds the wait for the decision on an operator's call;
@@ -184,8 +189,9 @@
 		Log: pollenlog.Config{
 			ID: c.folder.ID(), Address: c.balancer.settings.Node, ElectionTimeout: electionTimeout,
 			HeartbeatInterval: electionTimeout / heartbeatsPerElection, Seed: uint64(c.folder.ID()), MaxAppendEntries: maxAppendEntries,
+			MaxAppendBytes: maxAppendBytes,
 		},
-		Codec: pollenwire.ControlCodec{}, Lease: joinDelay, CheckInterval: checkInterval, CompactEvery: compactEvery,
+		Codec: pollenwire.ControlCodec{}, Lease: joinDelay, CheckInterval: checkInterval, CompactEvery: compactEvery, CompactBytes: compactBytes,
 		Guard: pollencontrol.HalfGuard{}, PendingTimeout: pendingTimeout, Replicas: maxReplicas, AutoRepair: true,
 	}, stored)
 	if err != nil {
--- a/pollenquorum/quorum.go
+++ b/pollenquorum/quorum.go
@@ -30,8 +30,13 @@
 	heartbeatsPerElection = 5
 	// maxAppendEntries bounds the log entries in one consensus message.
 	maxAppendEntries = 256
-	// compactEvery is the number of applied log entries between snapshots.
+	// maxAppendBytes is the size of the entries at which a consensus message takes no
+	// further one. It is far below the maximum size of a call.
+	maxAppendBytes = 1 << 20
+	// compactEvery is the number of applied log entries between snapshots, and
+	// compactBytes the size of their data at which one is made earlier.
 	compactEvery = 1000
+	compactBytes = 16 << 20
 	// maxInlineBytes bounds the encoded view update in a notice, in bytes.
 	maxInlineBytes = 1100
 	// memberLease is the time without a heartbeat after which a member is removed.
@@ -97,9 +102,9 @@
 	q.node, err = pollencontrol.NewNode(now, pollencontrol.Config{
 		Log: pollenlog.Config{
 			ID: q.folder.ID(), Address: s.Address, ElectionTimeout: s.ElectionTimeout,
-			HeartbeatInterval: s.ElectionTimeout / heartbeatsPerElection, Seed: uint64(now.UnixNano()), MaxAppendEntries: maxAppendEntries,
+			HeartbeatInterval: s.ElectionTimeout / heartbeatsPerElection, Seed: uint64(now.UnixNano()), MaxAppendEntries: maxAppendEntries, MaxAppendBytes: maxAppendBytes,
 		},
-		Codec: pollenwire.ControlCodec{}, Lease: memberLease, CheckInterval: checkInterval, CompactEvery: compactEvery,
+		Codec: pollenwire.ControlCodec{}, Lease: memberLease, CheckInterval: checkInterval, CompactEvery: compactEvery, CompactBytes: compactBytes,
 		Guard: pollencontrol.HalfGuard{MaxUnguarded: maxUnguarded}, MaxInlineBytes: maxInlineBytes, PendingTimeout: pendingTimeout,
 		Replicas: len(s.ControlHosts),
 	}, stored)
