Long messages are acknowledged, clocked and repeated by the fragment

Every message of more than 18 fragments from a host with a link of 3.7 Mbit/s was lost, however often it was repeated: its fragments left in one burst, and the link queues 50 ms. Changes of 1,640 routes never passed through such hosts, and updates of 3,047 routes reached some gates and balancers only from hosts with faster links, 1.5 to 2.9 s later; meanwhile the bursts pushed out callers' packets.

Messages of more than four fragments go through an outbox now: a window for each receiver and a bound for the host's link, clocked by acknowledgements; missing fragments are sent again, a newer update waits for the one that is being sent and replaces what waits. The decisions have no sockets and no clock (pollenlink.Outbox).

TestLongMessageOverThinLink failed before.

--- a/pollenlink/compress_test.go
+++ b/pollenlink/compress_test.go
@@ -30,7 +30,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = receiver.Close() })
-	from, err := pollenlink.Open(netip.MustParseAddrPort("127.0.0.1:0"))
+	from, err := pollenlink.Open(netip.MustParseAddrPort("127.0.0.1:0"), 0)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -56,18 +56,15 @@
 	var to []netip.AddrPort
 	var in []*inbox
 	for range 2 {
-		l, err := pollenlink.Open(netip.MustParseAddrPort("127.0.0.1:0"))
+		l, err := pollenlink.Open(netip.MustParseAddrPort("127.0.0.1:0"), 0)
 		if err != nil {
 			t.Fatal(err)
 		}
-		i := &inbox{messages: make(chan []byte, 1), malformed: make(chan int, 1)}
+		i := newInbox()
 		go func() { _ = l.Serve(ctx, i) }()
 		to, in = append(to, l.Address()), append(in, i)
 	}
-	from, err := pollenlink.Open(netip.MustParseAddrPort("127.0.0.1:0"))
-	if err != nil {
-		t.Fatal(err)
-	}
+	from := openServed(t, newInbox())
 	for _, routes := range []int{0, 20, 250, 4000} {
 		want := document(routes)
 		from.SendMessage(pollenlink.KindCall, want, to...)
--- a/pollenlink/frame.go
+++ b/pollenlink/frame.go
@@ -43,12 +43,14 @@
 	// KindCall and KindAnswer carry a Call and its Answer.
 	KindCall   Kind = "call"
 	KindAnswer Kind = "answer"
+	// KindReceived acknowledges fragments of a message.
+	KindReceived Kind = "received"
 )
 
 // kinds lists the kinds by their codes on the wire, which start at 1.
 var kinds = [...]Kind{
 	KindPass, KindSearch, KindDeclined, KindHolder, KindHeartbeat, KindUpdate, KindLog, KindJoin, KindCall, KindAnswer,
-	KindNotFound, KindQuery, KindNeedsPacket,
+	KindNotFound, KindQuery, KindNeedsPacket, KindReceived,
 }
 
 func (k Kind) code() byte {
--- a/pollenlink/link.go
+++ b/pollenlink/link.go
@@ -1,6 +1,7 @@
 package pollenlink
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/netip"
@@ -22,10 +23,13 @@
 type Link struct {
 	conn *net.UDPConn
 
-	// mu guards lastMessageID and buffer.
+	// mu guards lastMessageID, buffer, outbox and ticking.
 	mu            sync.Mutex
 	lastMessageID uint32
 	buffer        []byte
+	outbox        *Outbox
+	// ticking is set while a tick of the outbox is scheduled.
+	ticking bool
 	// OnSendError is called for each datagram that could not be sent. It must be
 	// set before the first datagram is sent.
 	OnSendError func(to netip.AddrPort, err error)
@@ -47,9 +51,10 @@
 	HandleIncomplete(now time.Time, from netip.AddrPort, m Incomplete)
 }
 
-// Open returns a new Link bound to the address. It returns an error if the
+// Open returns a new Link bound to the address, on a host whose network link has the
+// rate in bits per second; zero means that it is not known. It returns an error if the
 // socket cannot be bound or its receive buffer cannot be set.
-func Open(address netip.AddrPort) (*Link, error) {
+func Open(address netip.AddrPort, rate float64) (*Link, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
 	if err != nil {
 		return nil, errors.Wrapf(err, "open UDP socket for other nodes at %s", address)
@@ -57,7 +62,9 @@
 	if err := conn.SetReadBuffer(ReadBufferSize); err != nil {
 		return nil, errors.Wrapf(err, "set read buffer of the UDP socket at %s", address)
 	}
-	return &Link{conn: conn, buffer: make([]byte, BufferSize), OnSendError: func(netip.AddrPort, error) {}}, nil
+	return &Link{
+		conn: conn, buffer: make([]byte, BufferSize), outbox: NewOutbox(rate), OnSendError: func(netip.AddrPort, error) {},
+	}, nil
 }
 
 // Serve passes received datagrams to the handler until the context ends, and
@@ -88,8 +95,13 @@
 			handler.HandleMalformed(time.Now(), from, n, "datagram too short or of unknown kind")
 		case h.Kind.concernsFlow():
 			handler.HandlePacket(time.Now(), from, h, buffer[:n])
+		case h.Kind == KindReceived:
+			l.handleReceived(time.Now(), from, buffer[:n])
 		default:
 			message, err := fragments.add(time.Now(), from, buffer[:n])
+			if received := fragments.acknowledgement(from, buffer[:n]); received != nil {
+				l.SendPacket(from, received)
+			}
 			switch {
 			case err != nil:
 				handler.HandleMalformed(time.Now(), from, n, err.Error())
@@ -108,19 +120,73 @@
 	}
 }
 
-// SendMessage sends a message to every address, in several fragments if it is
-// larger than one. It may be lost; errors are passed to OnSendError.
+// SendMessage sends a message to every address. Fragments of a long one are sent as
+// its receivers acknowledge them, and again if they are lost. The message may be lost
+// nevertheless; errors are passed to OnSendError.
 func (l *Link) SendMessage(kind Kind, message []byte, to ...netip.AddrPort) {
+	m := &Long{Kind: kind}
+	m.Data, m.Compressed = compress(message)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lastMessageID++
-	split(kind, l.lastMessageID, message, l.buffer, func(datagram []byte) {
-		for _, a := range to {
-			l.SendPacket(a, datagram)
+	m.ID = l.lastMessageID
+	if m.count() <= directFragments {
+		for i := range m.count() {
+			for _, a := range to {
+				l.sendFragment(&Fragment{To: a, Message: m, Index: i})
+			}
 		}
+		return
+	}
+	if !m.Compressed {
+		m.Data = bytes.Clone(m.Data)
+	}
+	now := time.Now()
+	for _, a := range to {
+		due, ok := l.outbox.Add(now, m, a)
+		if !ok {
+			l.OnSendError(a, ErrTooManyTransfers)
+			continue
+		}
+		l.sendFragments(due)
+	}
+}
+
+// ErrTooManyTransfers is the error of a long message that is not sent because too many
+// others are being sent.
+var ErrTooManyTransfers = errors.New("too many long messages are being sent")
+
+func (l *Link) handleReceived(now time.Time, from netip.AddrPort, datagram []byte) {
+	id, received := readReceived(datagram)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sendFragments(l.outbox.Acknowledge(now, from, id, received))
+}
+
+// sendFragments sends fragments of long messages and schedules the next tick of the
+// outbox. mu must be held.
+func (l *Link) sendFragments(due []Fragment) {
+	for i := range due {
+		l.sendFragment(&due[i])
+	}
+	if l.ticking || l.outbox.Empty() {
+		return
+	}
+	l.ticking = true
+	time.AfterFunc(outboxInterval, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.ticking = false
+		l.sendFragments(l.outbox.Tick(time.Now()))
 	})
 }
 
+// outboxInterval is the interval of Outbox.Tick while messages are being sent.
+const outboxInterval = ackTimeout / 3
+
+// sendFragment sends one fragment. mu must be held.
+func (l *Link) sendFragment(f *Fragment) { l.SendPacket(f.To, appendFragment(l.buffer[:0], f)) }
+
 // Address returns the address that the link is bound to.
 func (l *Link) Address() netip.AddrPort {
 	if udp, ok := l.conn.LocalAddr().(*net.UDPAddr); ok {
--- a/pollenlink/link_test.go
+++ b/pollenlink/link_test.go
@@ -74,11 +74,8 @@
 // fragmentation, for sizes around the fragment size, and against a receiver
 // that stops at a malformed datagram.
 func TestMessages(t *testing.T) {
-	from, err := pollenlink.Open(netip.MustParseAddrPort("127.0.0.1:0"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	to, err := pollenlink.Open(netip.MustParseAddrPort("127.0.0.1:0"))
+	from := openServed(t, newInbox())
+	to, err := pollenlink.Open(netip.MustParseAddrPort("127.0.0.1:0"), 0)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pollenlink/thin_test.go
+++ b/pollenlink/thin_test.go
@@ -83,7 +83,7 @@
 // openServed opens a link that serves the handler until the test ends.
 func openServed(t *testing.T, handler pollenlink.Handler) *pollenlink.Link {
 	t.Helper()
-	l, err := pollenlink.Open(netip.MustParseAddrPort("127.0.0.1:0"))
+	l, err := pollenlink.Open(netip.MustParseAddrPort("127.0.0.1:0"), 0)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -125,3 +125,36 @@
 		t.Fatal("the message did not arrive within 5 s")
 	}
 }
+
+// TestNewestUpdateArrives guards against updates of a view that pile up at a thin link:
+// each makes the earlier ones useless, and the newest must not wait for all of them.
+func TestNewestUpdateArrives(t *testing.T) {
+	in := newInbox()
+	from, to := openServed(t, newInbox()), openServed(t, in)
+	thin := openThinLink(t, from.Address(), to.Address())
+	const updates = 40
+	message := make([]byte, 31*1200)
+	random := rand.NewChaCha8([32]byte{24})
+	for i := range updates {
+		if _, err := random.Read(message); err != nil {
+			t.Fatal(err)
+		}
+		message[0] = byte(i)
+		from.SendMessage(pollenlink.KindUpdate, message, thin)
+	}
+	deadline := time.After(5 * time.Second)
+	for received := 1; ; received++ {
+		select {
+		case got := <-in.messages:
+			if got[0] != updates-1 {
+				continue
+			}
+			if received > 2 {
+				t.Fatalf("%d updates arrived; want the first and the last one", received)
+			}
+			return
+		case <-deadline:
+			t.Fatal("the last update did not arrive within 5 s")
+		}
+	}
+}
--- a/pollennode/transport.go
+++ b/pollennode/transport.go
@@ -39,7 +39,7 @@
 func openSockets(s *Settings, address netip.AddrPort, metrics *pollenmetric.Set) (*sockets, error) {
 	k := &sockets{metrics: metrics, server: s.Server}
 	var err error
-	if k.link, err = pollenlink.Open(s.Node); err != nil {
+	if k.link, err = pollenlink.Open(s.Node, s.LinkRate); err != nil {
 		return nil, err
 	}
 	k.link.OnSendError = func(netip.AddrPort, error) { metrics.CountEvent(pollenmetric.EventSendFailed, 1) }
