A replica that loses its disk again during its repair is repaired

With the next tolerated loss the majority would have been gone. A voter that had just been promoted and was lost held up repairs for 10 s.

A repair now ends when its replacement is silent and another empty replica is at the address; the dead learner is removed first.

--- a/pollencontrol/autorepair.go
+++ b/pollencontrol/autorepair.go
@@ -30,7 +30,7 @@
 // that stays silent is removed when enough voters remain.
 func (n *Node) replaceLost() {
 	s := n.log.Status()
-	if n.repair != nil && n.now.Sub(n.repair.startTime) >= repairTimeout {
+	if n.repair != nil && (n.now.Sub(n.repair.startTime) >= repairTimeout || n.replacementLost(s)) {
 		n.repair = nil
 	}
 	if n.repair == nil {
@@ -54,6 +54,16 @@
 	}
 }
 
+// replacementLost reports whether the replacement of the repair is gone: it has fallen
+// silent, and another empty replica is at its address.
+func (n *Node) replacementLost(s pollenlog.Status) bool {
+	candidate := n.candidateAt(s.Membership, n.repair.address)
+	if _, joined := s.Membership.Find(n.repair.replacement); !joined {
+		return candidate != n.repair.replacement
+	}
+	return candidate != 0 && n.now.Sub(s.LastContact[n.repair.replacement]) >= replaceAfter
+}
+
 // startAutoRepair starts the repair of the first silent replica whose address an
 // empty replica has taken over.
 func (n *Node) startAutoRepair(s pollenlog.Status) {
--- a/pollencontrol/cluster_test.go
+++ b/pollencontrol/cluster_test.go
@@ -55,7 +55,9 @@
 	answers     map[pollencontrol.Token]pollencontrol.Answer
 	token       pollencontrol.Token
 	lossPercent int
-	notices     int
+	// autoRepair sets Config.AutoRepair of hosts that start from now on.
+	autoRepair bool
+	notices    int
 }
 
 // message is one message between two addresses.
@@ -101,7 +103,7 @@
 			Seed: uint64(h.id) ^ uint64(c.now.UnixNano()), MaxAppendEntries: 64, MaxAppendBytes: 1 << 20,
 		},
 		Codec: pollenwire.ControlCodec{}, Lease: lease, CheckInterval: 100 * time.Millisecond, CompactEvery: 200, CompactBytes: compactBytes,
-		Guard: pollencontrol.HalfGuard{MaxUnguarded: 2}, MaxInlineBytes: 1100, PendingTimeout: 5 * time.Second, Replicas: c.size,
+		Guard: pollencontrol.HalfGuard{MaxUnguarded: 2}, MaxInlineBytes: 1100, PendingTimeout: 5 * time.Second, Replicas: c.size, AutoRepair: c.autoRepair,
 	}, stored)
 	if err != nil {
 		c.t.Fatalf("start host: %v", err)
--- a/pollencontrol/node_test.go
+++ b/pollencontrol/node_test.go
@@ -266,6 +266,48 @@
 	})
 }
 
+// TestDiskLostAgainDuringRepair guards against an automatic repair that waits forever for
+// a learner which has lost its disk, too: neither the empty replica that came after it
+// nor any other lost one would get a vote again, and the next loss would take the
+// majority.
+func TestDiskLostAgainDuringRepair(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(t, 6)
+		c.autoRepair = true
+		for _, h := range c.hosts {
+			c.start(h)
+		}
+		l := c.waitForLeader()
+		var others []*host
+		for _, h := range c.hosts {
+			if h != l {
+				others = append(others, h)
+			}
+		}
+		loseDisk := func(h *host) {
+			h.disk = pollenlog.StoredState{}
+			h.id += 1000
+			c.start(h)
+		}
+		// The disk is lost again at some time of the repair, which takes two seconds.
+		loseDisk(others[0])
+		c.run(time.Duration(rapid.IntRange(0, 30).Draw(t, "ticks between the losses")) * 5 * tick)
+		loseDisk(others[0])
+		c.run(4 * time.Second)
+		loseDisk(others[1])
+		c.run(6 * time.Second)
+		l = c.leader()
+		if l == nil {
+			t.Fatal("no leader 6 s after the last loss")
+		}
+		for _, h := range c.hosts {
+			if r, _ := l.node.LogStatus().Membership.Find(h.id); !r.Voter {
+				t.Errorf("the replica at %s has no vote 6 s after the last loss", h.address)
+			}
+		}
+	})
+}
+
 // TestIsolatedMemberLearnsFromPeers guards against a member that misses changes
 // while only the control hosts cannot reach it. It must receive from its peers,
 // within three seconds, that a failure domain was taken out of service.
--- a/pollencontrol/repair.go
+++ b/pollencontrol/repair.go
@@ -12,7 +12,8 @@
 // A repair replaces the lost replica at an address by the empty replica that has
 // the address now, in three committed steps: the replacement becomes a learner,
 // the lost replica is removed once the learner holds every entry of the leader's
-// log at the start of the repair, and the learner becomes a voter. The repair is
+// log at the start of the repair, and the learner becomes a voter. A learner that an
+// earlier repair left at the address is removed first. The repair is
 // reported as done only when the last step is committed and the new voter holds
 // it.
 type repair struct {
@@ -117,7 +118,7 @@
 	s := n.log.Status()
 	r := &repair{callToken: e.Token, address: e.Address, target: s.Last, replacement: n.replacementAt(e.Address), startTime: n.now}
 	for _, member := range s.Membership.Replicas {
-		if member.Address == e.Address && member.ID != r.replacement {
+		if member.Address == e.Address && member.ID != r.replacement && member.Voter {
 			r.lost = member.ID
 		}
 	}
@@ -136,27 +137,43 @@
 }
 
 // replacementAt returns the replica at the address that is not a voter yet: a
-// learner that an earlier repair added, or else the candidate with the latest
-// request to join; zero if there is none. Candidates that are members already
-// are skipped, since the lost replica itself once asked to join and must not be
-// taken for its replacement.
+// learner that an earlier repair added, or else the candidate there; zero if there
+// is none. A silent learner yields to a candidate, since it has lost its disk as
+// well.
 func (n *Node) replacementAt(address netip.AddrPort) pollenlog.ReplicaID {
-	membership := n.log.Status().Membership
-	for _, r := range membership.Replicas {
-		if r.Address == address && !r.Voter {
-			return r.ID
-		}
+	s := n.log.Status()
+	learner, found := learnerAt(s.Membership, address, 0)
+	candidate := n.candidateAt(s.Membership, address)
+	if found && (candidate == 0 || n.now.Sub(s.LastContact[learner]) < replaceAfter) {
+		return learner
 	}
-	var replacement pollenlog.ReplicaID
+	return candidate
+}
+
+// candidateAt returns the candidate at the address with the latest request to join,
+// or zero. Candidates that are members already are skipped, since the lost replica
+// itself once asked to join and must not be taken for its replacement.
+func (n *Node) candidateAt(m pollenlog.Membership, address netip.AddrPort) pollenlog.ReplicaID {
+	var candidate pollenlog.ReplicaID
 	var lastSeen time.Time
 	for _, id := range n.candidateIDs() {
 		c := n.candidates[id]
-		if _, member := membership.Find(id); member || c.address != address || c.lastSeen.Before(lastSeen) {
+		if _, member := m.Find(id); member || c.address != address || c.lastSeen.Before(lastSeen) {
 			continue
 		}
-		replacement, lastSeen = id, c.lastSeen
+		candidate, lastSeen = id, c.lastSeen
+	}
+	return candidate
+}
+
+// learnerAt returns the learner at the address other than the given one.
+func learnerAt(m pollenlog.Membership, address netip.AddrPort, other pollenlog.ReplicaID) (id pollenlog.ReplicaID, found bool) {
+	for _, r := range m.Replicas {
+		if r.Address == address && !r.Voter && r.ID != other {
+			return r.ID, true
+		}
 	}
-	return replacement
+	return 0, false
 }
 
 // continueRepair executes the next step of the repair when its condition holds.
@@ -168,7 +185,10 @@
 	s := n.log.Status()
 	replacement, joined := s.Membership.Find(r.replacement)
 	_, lostPresent := s.Membership.Find(r.lost)
+	formerLearner, abandoned := learnerAt(s.Membership, r.address, r.replacement)
 	switch {
+	case abandoned:
+		n.changeMembership(pollenlog.ChangeMembership{Remove: formerLearner})
 	case !joined:
 		n.changeMembership(pollenlog.ChangeMembership{
 			Add: pollenlog.Replica{ID: r.replacement, Address: r.address},
