Seeds are asked in turn, and views come from hosts with fast links

Views for newcomers come from the holders with the fastest links first. All updates of the view go through the outbox, so that one is not sent again while it is on its way.

Heartbeats of the mesh still fill the links until relays are found; open. TestSeedsAreNotFlooded, TestViewComesFromFastLinks failed before.

--- a/pollenlink/fragment.go
+++ b/pollenlink/fragment.go
@@ -28,6 +28,8 @@
 	formCompressed = 1
 	// flagAcknowledge requests an acknowledgement.
 	flagAcknowledge = 1
+	// flagTransfer is set in each fragment of a message that may be sent again.
+	flagTransfer = 2
 )
 
 // fragmentCount returns the number of fragments of a message of size bytes.
@@ -43,7 +45,10 @@
 		header[1] = formCompressed
 	}
 	if f.Acknowledge {
-		header[2] = flagAcknowledge
+		header[2] |= flagAcknowledge
+	}
+	if !m.direct() {
+		header[2] |= flagTransfer
 	}
 	binary.BigEndian.PutUint16(header[4:], uint16(f.Index))
 	binary.BigEndian.PutUint16(header[6:], uint16(m.count()))
@@ -80,8 +85,8 @@
 // A reassembler joins fragments to messages. It is not safe for concurrent use.
 type reassembler struct {
 	partial map[partialKey]*partialMessage
-	// complete holds when each message of more than directFragments was last seen after
-	// it was complete; its sender may send fragments again.
+	// complete holds when each message that its sender may send again was last seen
+	// after it was complete.
 	complete map[partialKey]time.Time
 	// onIncomplete is called for each message that is given up.
 	onIncomplete func(from netip.AddrPort, m Incomplete)
@@ -130,7 +135,8 @@
 	if count == 0 || index >= count || count > MaxMessageSize/fragmentSize+1 {
 		return nil
 	}
-	if count == 1 {
+	transferred := datagram[2]&flagTransfer != 0
+	if count == 1 && !transferred {
 		return part
 	}
 	r.expire(now)
@@ -157,7 +163,7 @@
 		return nil
 	}
 	delete(r.partial, key)
-	if count > directFragments {
+	if transferred {
 		r.complete[key] = now
 	}
 	var message []byte
--- a/pollenlink/link.go
+++ b/pollenlink/link.go
@@ -130,7 +130,7 @@
 	defer l.mu.Unlock()
 	l.lastMessageID++
 	m.ID = l.lastMessageID
-	if m.count() <= directFragments {
+	if m.direct() {
 		for i := range m.count() {
 			for _, a := range to {
 				l.sendFragment(&Fragment{To: a, Message: m, Index: i})
--- a/pollenlink/outbox.go
+++ b/pollenlink/outbox.go
@@ -1,6 +1,7 @@
 package pollenlink
 
 import (
+	"bytes"
 	"net/netip"
 	"slices"
 	"time"
@@ -36,8 +37,8 @@
 	maxTransfers = 1024
 )
 
-// A Long is a message that is sent in more than directFragments fragments. It is not
-// changed once it is in an Outbox.
+// A Long is a message of which copies, or of which the fragments, may exceed what a
+// link queues. It is not changed once it is in an Outbox.
 type Long struct {
 	Kind Kind
 	// ID is unique among the sender's messages.
@@ -50,6 +51,10 @@
 // count returns the number of fragments.
 func (m *Long) count() int { return fragmentCount(len(m.Data)) }
 
+// direct reports whether the message is sent at once: it is short, and not sent to many
+// receivers at the same time.
+func (m *Long) direct() bool { return m.count() <= directFragments && m.Kind != KindUpdate }
+
 // superseded reports whether a later message of the same kind makes this one useless:
 // it starts at the same or a lower revision and ends at a higher one.
 func (m *Long) superseded() bool { return m.Kind == KindUpdate }
@@ -128,10 +133,13 @@
 func (o *Outbox) Add(now time.Time, m *Long, to netip.AddrPort) (due []Fragment, ok bool) {
 	if m.superseded() {
 		for _, t := range o.transfers {
-			if t.to == to && t.message.Kind == m.Kind {
+			if t.to != to || t.message.Kind != m.Kind {
+				continue
+			}
+			if !bytes.Equal(t.message.Data, m.Data) {
 				t.successor = m
-				return nil, true
 			}
+			return nil, true
 		}
 	}
 	if len(o.transfers) >= maxTransfers {
--- a/pollenpeer/schedule.go
+++ b/pollenpeer/schedule.go
@@ -4,6 +4,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -33,9 +34,13 @@
 	if t.reporting(now, targets) {
 		return due
 	}
+	if len(t.peers) == 0 {
+		return append(due, t.nextSeed(now)...)
+	}
+	t.seedAttempts = 0
 	for _, a := range t.seeds {
 		if _, known := t.peers[a]; !known || t.relayed {
-			addDue(a, t.seedInterval())
+			addDue(a, SeedInterval)
 		}
 	}
 	if t.relayed {
@@ -63,13 +68,33 @@
 	return slices.ContainsFunc(targets, func(a netip.AddrPort) bool { return now.Sub(t.peers[a].HeardAt) < FreshAge })
 }
 
-// seedInterval returns the time between two heartbeats to an unknown seed. It is
-// short while no peer is known.
-func (t *Table) seedInterval() time.Duration {
-	if len(t.peers) == 0 {
-		return HeartbeatInterval / 4
+// Intervals between the heartbeats to seeds while no peer is known.
+const (
+	minSeedInterval = HeartbeatInterval / 4
+	maxSeedInterval = 2 * HeartbeatInterval
+)
+
+// nextSeed returns the seed to contact while no peer is known, or none if it is not
+// time yet. The seeds take turns, each process begins with another one, and the
+// interval grows: after a restart of all processes at once hundreds of them know only
+// the same few seeds, which may have the thinnest links.
+func (t *Table) nextSeed(now time.Time) []netip.AddrPort {
+	if len(t.seeds) == 0 || now.Before(t.nextSeedAt) {
+		return nil
+	}
+	hash := hashOf(t.self.Address, "seed")
+	a := t.seeds[(hash+uint64(t.seedAttempts))%uint64(len(t.seeds))]
+	interval := minSeedInterval
+	for range t.seedAttempts / len(t.seeds) {
+		interval = min(maxSeedInterval, 2*interval)
 	}
-	return SeedInterval
+	t.seedAttempts++
+	// Up to a quarter more, different for each process and attempt.
+	const jitterSteps = 64
+	jitter := hashOf(t.self.Address, strconv.Itoa(t.seedAttempts)) % jitterSteps
+	t.nextSeedAt = now.Add(interval + interval*time.Duration(jitter)/(4*jitterSteps))
+	t.nextDue[a] = now.Add(HeartbeatInterval)
+	return []netip.AddrPort{a}
 }
 
 // MarkSent records that a heartbeat was sent to the address now.
--- a/pollenpeer/table.go
+++ b/pollenpeer/table.go
@@ -35,6 +35,10 @@
 type Table struct {
 	self  Peer
 	seeds []netip.AddrPort
+	// seedAttempts is the number of heartbeats to seeds since a peer was last known, and
+	// nextSeedAt when the next one is due.
+	seedAttempts int
+	nextSeedAt   time.Time
 	// peers is keyed by address. Expire removes entries that are PeerTimeout old.
 	peers map[netip.AddrPort]*Entry
 	// candidates holds the addresses that are known only from the heartbeats of
@@ -94,6 +98,7 @@
 // having received one from them. The own address is ignored.
 func (t *Table) SetSeeds(seeds []netip.AddrPort) {
 	t.seeds = slices.DeleteFunc(slices.Clone(seeds), func(a netip.AddrPort) bool { return a == t.self.Address })
+	t.seedAttempts, t.nextSeedAt = 0, time.Time{}
 }
 
 // Self returns the description of this process that its heartbeats carry. The
@@ -326,17 +331,22 @@
 // domain count. While the tables of balancers differ, more than count of them may
 // report true.
 func (t *Table) IsNearest(a netip.AddrPort, count int) bool {
-	return t.isNearest(a, count, func(*Peer) bool { return true })
+	return t.isNearest(a, count, func(_ *Peer, near bool) bool { return near })
 }
 
-// IsNearestHolder is IsNearest among the balancers that have a view. After all
-// processes have restarted at once, few have one, and the nearest of all balancers
-// may wait for it itself.
+// IsNearestHolder is IsNearest among the balancers that have a view, of which those
+// with faster links count as nearer. After all processes have restarted at once, few
+// have one, the nearest of all balancers may wait for it itself, and a thin link does
+// not carry it to hundreds.
 func (t *Table) IsNearestHolder(a netip.AddrPort, count int) bool {
-	return t.isNearest(a, count, func(p *Peer) bool { return p.Revision > 0 })
+	return t.isNearest(a, count, func(p *Peer, near bool) bool {
+		return p.Revision > 0 && (p.LinkRate > t.self.LinkRate || near && p.LinkRate == t.self.LinkRate)
+	})
 }
 
-func (t *Table) isNearest(a netip.AddrPort, count int, counts func(p *Peer) bool) bool {
+// isNearest counts the balancers that precede this one. precedes is called for each
+// balancer, with whether its distance to the address is shorter.
+func (t *Table) isNearest(a netip.AddrPort, count int, precedes func(p *Peer, near bool) bool) bool {
 	domain := t.self.Domain
 	if e := t.peers[a]; e != nil && t.relayed {
 		domain = e.Peer.Domain
@@ -348,7 +358,7 @@
 	nearer := 0
 	for _, b := range t.balancers {
 		p := &t.peers[b].Peer
-		if (!t.relayed || p.Domain == domain) && counts(p) && distance(b, a) < own {
+		if (!t.relayed || p.Domain == domain) && precedes(p, distance(b, a) < own) {
 			nearer++
 		}
 	}
--- a/pollenpeer/table_test.go
+++ b/pollenpeer/table_test.go
@@ -148,6 +148,59 @@
 	}
 }
 
+// TestViewComesFromFastLinks guards against a host with a thin link that sends its view
+// to hundreds of newcomers although others with faster links have it.
+func TestViewComesFromFastLinks(t *testing.T) {
+	for name, c := range map[string]struct {
+		own, others int64
+		want        bool
+	}{
+		"thin among fast": {2_000, 100_000, false}, "fast among thin": {100_000, 2_000, true},
+	} {
+		tb := pollenpeer.NewTable(pollenpeer.Peer{Address: address(1), Role: pollenpeer.RoleBalancer, Revision: 1, LinkRate: c.own}, nil)
+		for n := range 5 {
+			h := heartbeat(2+n, 1)
+			h.Peer.Revision, h.Peer.LinkRate = 1, c.others
+			tb.Receive(startTime, h)
+		}
+		for a := 100; a < 140; a++ {
+			if got := tb.IsNearestHolder(address(a), 3); got != c.want {
+				t.Errorf("%s: sends its view to %s: %t; want %t", name, address(a), got, c.want)
+			}
+		}
+	}
+}
+
+// TestSeedsAreNotFlooded replays a restart of all processes while the seeds answer
+// nobody: 300 processes that know nobody else may not fill the seeds' links for long,
+// or none of them ever gets an answer.
+func TestSeedsAreNotFlooded(t *testing.T) {
+	const processes, tick = 300, 100 * time.Millisecond
+	seeds := []netip.AddrPort{address(1), address(2), address(3)}
+	var tables []*pollenpeer.Table
+	for n := range processes {
+		self := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1 + byte(n/200), byte(n % 200)}), 7000)
+		tables = append(tables, pollenpeer.NewTable(pollenpeer.Peer{Address: self, Role: pollenpeer.RoleGate}, seeds))
+	}
+	// sent counts the heartbeats to each seed in each second.
+	sent := map[netip.AddrPort][5]int{}
+	for at := time.Duration(0); at < 5*time.Second; at += tick {
+		for _, tb := range tables {
+			for _, a := range tb.DuePeers(startTime.Add(at)) {
+				counts := sent[a]
+				counts[at/time.Second]++
+				sent[a] = counts
+			}
+		}
+	}
+	for _, a := range seeds {
+		// 250 heartbeats of 200 bytes a second are a fifth of 2 Mbit/s.
+		if counts := sent[a]; counts[0] > 600 || counts[1] > 250 || counts[4] > 150 || counts[4] < 50 {
+			t.Errorf("heartbeats to seed %s by second: %v; want at most 600, then 250, then 50 to 150", a, counts)
+		}
+	}
+}
+
 // TestRestarted guards against taking the restart of some processes for a
 // restart of the whole system, as after a power loss: flows that still exist
 // would be reset.
