Short messages to many peers are paced to the host's link

A pacer sends what takes 20 ms of the link at once and the rest at half of its rate; what takes more than 250 ms is dropped and counted as send-failed.

TestHeartbeatsToManyOverThinLink failed without the pacer: 22 of 60 arrived.

--- a/pollenlink/link.go
+++ b/pollenlink/link.go
@@ -23,13 +23,15 @@
 type Link struct {
 	conn *net.UDPConn
 
-	// mu guards lastMessageID, buffer, outbox and ticking.
+	// mu guards lastMessageID, buffer, outbox, pacer, ticking and pacing.
 	mu            sync.Mutex
 	lastMessageID uint32
 	buffer        []byte
 	outbox        *Outbox
-	// ticking is set while a tick of the outbox is scheduled.
-	ticking bool
+	pacer         *Pacer
+	// ticking is set while a tick of the outbox is scheduled, and pacing while one of
+	// the pacer is.
+	ticking, pacing bool
 	// OnSendError is called for each datagram that could not be sent. It must be
 	// set before the first datagram is sent.
 	OnSendError func(to netip.AddrPort, err error)
@@ -63,7 +65,7 @@
 		return nil, errors.Wrapf(err, "set read buffer of the UDP socket at %s", address)
 	}
 	return &Link{
-		conn: conn, buffer: make([]byte, BufferSize), outbox: NewOutbox(rate), OnSendError: func(netip.AddrPort, error) {},
+		conn: conn, buffer: make([]byte, BufferSize), outbox: NewOutbox(rate), pacer: NewPacer(rate), OnSendError: func(netip.AddrPort, error) {},
 	}, nil
 }
 
@@ -131,9 +133,9 @@
 	l.lastMessageID++
 	m.ID = l.lastMessageID
 	if m.direct() {
-		for i := range m.count() {
-			for _, a := range to {
-				l.sendFragment(&Fragment{To: a, Message: m, Index: i})
+		for _, a := range to {
+			for i := range m.count() {
+				l.sendPaced(&Fragment{To: a, Message: m, Index: i})
 			}
 		}
 		return
@@ -184,6 +186,42 @@
 // outboxInterval is the interval of Outbox.Tick while messages are being sent.
 const outboxInterval = ackTimeout / 3
 
+// ErrLinkFull is the error of a message that is not sent because too many others wait
+// for the host's link.
+var ErrLinkFull = errors.New("too many messages wait for the network link")
+
+// sendPaced sends one fragment of a short message as soon as the pacer allows it. mu
+// must be held.
+func (l *Link) sendPaced(f *Fragment) {
+	datagram := appendFragment(l.buffer[:0], f)
+	if l.pacer.Send(time.Now(), len(datagram)) {
+		l.SendPacket(f.To, datagram)
+		return
+	}
+	if !l.pacer.Wait(f.To, bytes.Clone(datagram)) {
+		l.OnSendError(f.To, ErrLinkFull)
+		return
+	}
+	l.schedulePacer()
+}
+
+// schedulePacer schedules the next sending of waiting datagrams. mu must be held.
+func (l *Link) schedulePacer() {
+	if l.pacing || l.pacer.Empty() {
+		return
+	}
+	l.pacing = true
+	time.AfterFunc(paceInterval, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.pacing = false
+		for _, p := range l.pacer.Due(time.Now()) {
+			l.SendPacket(p.To, p.Datagram)
+		}
+		l.schedulePacer()
+	})
+}
+
 // sendFragment sends one fragment. mu must be held.
 func (l *Link) sendFragment(f *Fragment) { l.SendPacket(f.To, appendFragment(l.buffer[:0], f)) }
 
--- a/pollenlink/thin_test.go
+++ b/pollenlink/thin_test.go
@@ -83,7 +83,13 @@
 // openServed opens a link that serves the handler until the test ends.
 func openServed(t *testing.T, handler pollenlink.Handler) *pollenlink.Link {
 	t.Helper()
-	l, err := pollenlink.Open(netip.MustParseAddrPort("127.0.0.1:0"), 0)
+	return openServedAt(t, handler, 0)
+}
+
+// openServedAt is openServed for a host whose link has the rate in bits per second.
+func openServedAt(t *testing.T, handler pollenlink.Handler, rate float64) *pollenlink.Link {
+	t.Helper()
+	l, err := pollenlink.Open(netip.MustParseAddrPort("127.0.0.1:0"), rate)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -158,3 +164,28 @@
 		}
 	}
 }
+
+// TestHeartbeatsToManyOverThinLink guards against heartbeats that a relay sends to many
+// peers at once and that overflow the queue of its link.
+func TestHeartbeatsToManyOverThinLink(t *testing.T) {
+	const heartbeats = 60
+	in := newInbox()
+	from, to := openServedAt(t, newInbox(), 8*thinRate), openServed(t, in)
+	thin := openThinLink(t, from.Address(), to.Address())
+	message := make([]byte, 1000)
+	random := rand.NewChaCha8([32]byte{25})
+	if _, err := random.Read(message); err != nil {
+		t.Fatal(err)
+	}
+	for range heartbeats {
+		from.SendMessage(pollenlink.KindHeartbeat, message, thin)
+	}
+	deadline := time.After(5 * time.Second)
+	for n := range heartbeats {
+		select {
+		case <-in.messages:
+		case <-deadline:
+			t.Fatalf("%d of %d heartbeats arrived within 5 s", n, heartbeats)
+		}
+	}
+}
