Message IDs start at random, so that a restarted sender is understood

Since messages are acknowledged, receivers remember for two seconds which ones are complete. IDs started at 1 with each process: a process that was killed and back within that time sent messages which were taken for those of its earlier run, acknowledged and dropped (and before, fragments of two runs could be joined to one message).

Also: pollenlink.Long is called Message.

TestMessagesOfARestartedSender failed before.

--- a/pollenlink/link.go
+++ b/pollenlink/link.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -24,7 +25,8 @@
 	conn *net.UDPConn
 
 	// mu guards lastMessageID, buffer, outbox, pacer, ticking and pacing.
-	mu            sync.Mutex
+	mu sync.Mutex
+	// lastMessageID starts at random.
 	lastMessageID uint32
 	buffer        []byte
 	outbox        *Outbox
@@ -65,7 +67,9 @@
 		return nil, errors.Wrapf(err, "set read buffer of the UDP socket at %s", address)
 	}
 	return &Link{
-		conn: conn, buffer: make([]byte, BufferSize), outbox: NewOutbox(rate), pacer: NewPacer(rate), OnSendError: func(netip.AddrPort, error) {},
+		// Receivers remember the IDs of an earlier run of the process.
+		lastMessageID: rand.Uint32(),
+		conn:          conn, buffer: make([]byte, BufferSize), outbox: NewOutbox(rate), pacer: NewPacer(rate), OnSendError: func(netip.AddrPort, error) {},
 	}, nil
 }
 
@@ -126,7 +130,7 @@
 // its receivers acknowledge them, and again if they are lost. The message may be lost
 // nevertheless; errors are passed to OnSendError.
 func (l *Link) SendMessage(kind Kind, message []byte, to ...netip.AddrPort) {
-	m := &Long{Kind: kind}
+	m := &Message{Kind: kind}
 	m.Data, m.Compressed = compress(message)
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/pollenlink/link_test.go
+++ b/pollenlink/link_test.go
@@ -99,3 +99,36 @@
 		t.Fatal(err)
 	}
 }
+
+// TestMessagesOfARestartedSender guards against messages that a receiver takes for
+// repetitions of those that the sender's earlier run sent with the same IDs: they were
+// acknowledged and dropped.
+func TestMessagesOfARestartedSender(t *testing.T) {
+	in := newInbox()
+	to := openServed(t, in)
+	address := netip.MustParseAddrPort("127.0.0.1:0")
+	for run := range 3 {
+		from, err := pollenlink.Open(address, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		address = from.Address()
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- from.Serve(ctx, newInbox()) }()
+		want := bytes.Repeat([]byte{byte(run)}, 1000)
+		from.SendMessage(pollenlink.KindUpdate, want, to.Address())
+		select {
+		case got := <-in.messages:
+			if !bytes.Equal(got, want) {
+				t.Fatalf("run %d: the message changed", run)
+			}
+		case <-time.After(2 * time.Second):
+			t.Fatalf("the message of run %d did not arrive within 2 s", run)
+		}
+		cancel()
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/pollenlink/outbox.go
+++ b/pollenlink/outbox.go
@@ -37,9 +37,9 @@
 	maxTransfers = 1024
 )
 
-// A Long is a message of which copies, or of which the fragments, may exceed what a
-// link queues. It is not changed once it is in an Outbox.
-type Long struct {
+// A Message is what one process sends to others, in one or more fragments. It is not
+// changed once it is in an Outbox.
+type Message struct {
 	Kind Kind
 	// ID is unique among the sender's messages.
 	ID uint32
@@ -49,20 +49,20 @@
 }
 
 // count returns the number of fragments.
-func (m *Long) count() int { return fragmentCount(len(m.Data)) }
+func (m *Message) count() int { return fragmentCount(len(m.Data)) }
 
-// direct reports whether the message is sent at once: it is short, and not sent to many
-// receivers at the same time.
-func (m *Long) direct() bool { return m.count() <= directFragments && m.Kind != KindUpdate }
+// direct reports whether the message is sent without acknowledgements: it is short, and
+// its sender repeats it anyway.
+func (m *Message) direct() bool { return m.count() <= directFragments && m.Kind != KindUpdate }
 
 // superseded reports whether a later message of the same kind makes this one useless:
-// it starts at the same or a lower revision and ends at a higher one.
-func (m *Long) superseded() bool { return m.Kind == KindUpdate }
+// it starts at a revision that the receiver has reported, and ends at a higher one.
+func (m *Message) superseded() bool { return m.Kind == KindUpdate }
 
 // A Fragment is one fragment to send now.
 type Fragment struct {
 	To      netip.AddrPort
-	Message *Long
+	Message *Message
 	Index   int
 	// Acknowledge is set if the receiver is to acknowledge at once.
 	Acknowledge bool
@@ -95,9 +95,9 @@
 // A transfer is the sending of one message to one receiver.
 type transfer struct {
 	to      netip.AddrPort
-	message *Long
+	message *Message
 	// successor replaces the message once this transfer has ended; nil if there is none.
-	successor *Long
+	successor *Message
 	states    []fragmentState
 	// inFlight, lost and acknowledged count the fragments in these states; those from
 	// next on are unsent.
@@ -130,7 +130,7 @@
 // are valid until the next call. A message that supersedes one in transfer waits for
 // the end of that one, and replaces an earlier one that waits. ok is false if there
 // are too many transfers.
-func (o *Outbox) Add(now time.Time, m *Long, to netip.AddrPort) (due []Fragment, ok bool) {
+func (o *Outbox) Add(now time.Time, m *Message, to netip.AddrPort) (due []Fragment, ok bool) {
 	if m.superseded() {
 		for _, t := range o.transfers {
 			if t.to != to || t.message.Kind != m.Kind {
@@ -149,7 +149,7 @@
 	return o.takeDue(now), true
 }
 
-func newTransfer(m *Long, to netip.AddrPort) *transfer {
+func newTransfer(m *Message, to netip.AddrPort) *transfer {
 	return &transfer{to: to, message: m, states: make([]fragmentState, m.count()), window: initialWindow}
 }
 
--- a/pollenlink/outbox_test.go
+++ b/pollenlink/outbox_test.go
@@ -52,7 +52,7 @@
 	}
 }
 
-func (w *wire) add(t *testing.T, m *pollenlink.Long, to netip.AddrPort) {
+func (w *wire) add(t *testing.T, m *pollenlink.Message, to netip.AddrPort) {
 	t.Helper()
 	due, ok := w.outbox.Add(w.now, m, to)
 	if !ok {
@@ -123,8 +123,8 @@
 	return to
 }
 
-func long(id uint32, fragments int) *pollenlink.Long {
-	return &pollenlink.Long{Kind: pollenlink.KindLog, ID: id, Data: make([]byte, fragments*1200)}
+func long(id uint32, fragments int) *pollenlink.Message {
+	return &pollenlink.Message{Kind: pollenlink.KindLog, ID: id, Data: make([]byte, fragments*1200)}
 }
 
 // TestUpdateOverThinLink replays a document of 3,047 routes that a host with a link of
@@ -150,7 +150,7 @@
 // it. It must not overflow the link, which carries the answers to other newcomers, too.
 func TestViewForManyNewcomers(t *testing.T) {
 	w := newWire(2e6)
-	view := &pollenlink.Long{Kind: pollenlink.KindUpdate, ID: 1, Data: make([]byte, 3*1200)}
+	view := &pollenlink.Message{Kind: pollenlink.KindUpdate, ID: 1, Data: make([]byte, 3*1200)}
 	to := receivers(100)
 	for id := range uint32(4) {
 		for _, a := range to {
@@ -208,7 +208,7 @@
 func TestNewerUpdateWaits(t *testing.T) {
 	w := newWire(3.7e6)
 	to := receivers(1)[0]
-	update := func(id uint32) *pollenlink.Long {
+	update := func(id uint32) *pollenlink.Message {
 		m := long(id, 26)
 		m.Kind, m.Data[0] = pollenlink.KindUpdate, byte(id)
 		return m
