--- a/pollenlink/outbox.go
+++ b/pollenlink/outbox.go
@@ -53,7 +53,7 @@
 
 // direct reports whether the message is sent without acknowledgements: it is short, and
 // its sender repeats it anyway.
-func (m *Message) direct() bool { return m.count() <= directFragments && m.Kind != KindUpdate }
+func (m *Message) direct() bool { return m.count() <= directFragments && !m.superseded() }
 
 // superseded reports whether a later message of the same kind makes this one useless:
 // it starts at a revision that the receiver has reported, and ends at a higher one.
