--- a/pollenagent/flows.go
+++ b/pollenagent/flows.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"pollenstep.example/pollenstep/pollenadmission"
+	"pollenstep.example/pollenstep/pollenbucket"
 	"pollenstep.example/pollenstep/pollendocument"
 	"pollenstep.example/pollenstep/pollenflow"
 	"pollenstep.example/pollenstep/pollenview"
@@ -116,7 +117,7 @@
 	// loadScratch and candidateIndexes are reused to avoid allocations.
 	loadScratch      []pollenflow.Load
 	candidateIndexes []int
-	searches         tokenBucket
+	searches         pollenbucket.Bucket
 	backups          backupState
 	lastSweep        time.Time
 	// averageRunning is the smoothed number of running units of work.
@@ -151,7 +152,7 @@
 		directory: pollenflow.NewLeaseMap[pollenflow.Key, pollenview.MemberRef](config.DirectoryLease),
 		notFound:  pollenflow.NewLeaseMap[pollenflow.Key, struct{}](notFoundLease),
 		loads:     pollenflow.NewLoads(loadLease),
-		searches:  tokenBucket{rate: float64(config.SearchRate), burst: float64(config.SearchRate)},
+		searches:  pollenbucket.New(float64(config.SearchRate), float64(config.SearchRate)),
 	}
 }
 
--- a/pollenagent/search.go
+++ b/pollenagent/search.go
@@ -60,7 +60,7 @@
 	if at >= len(candidates) || at >= maxSearchedAgents {
 		return Decision{}, false
 	}
-	if at == 0 && !f.searches.take(now) {
+	if at == 0 && !f.searches.TakeOne(now) {
 		return drop(pollenkernel.RefusalSearchLimit), true
 	}
 	to := &f.agents[candidates[at]]
--- a/pollenlink/link.go
+++ b/pollenlink/link.go
@@ -175,15 +175,23 @@
 	for i := range due {
 		l.sendFragment(&due[i])
 	}
-	if l.ticking || l.outbox.Empty() {
+	if !l.outbox.Empty() {
+		l.schedule(&l.ticking, outboxInterval, func(now time.Time) { l.sendFragments(l.outbox.Tick(now)) })
+	}
+}
+
+// schedule calls run with mu held after the duration, unless that is scheduled already.
+// mu must be held.
+func (l *Link) schedule(scheduled *bool, d time.Duration, run func(now time.Time)) {
+	if *scheduled {
 		return
 	}
-	l.ticking = true
-	time.AfterFunc(outboxInterval, func() {
+	*scheduled = true
+	time.AfterFunc(d, func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		l.ticking = false
-		l.sendFragments(l.outbox.Tick(time.Now()))
+		*scheduled = false
+		run(time.Now())
 	})
 }
 
@@ -206,24 +214,17 @@
 		l.OnSendError(f.To, ErrLinkFull)
 		return
 	}
-	l.schedulePacer()
+	l.schedule(&l.pacing, paceInterval, l.sendWaiting)
 }
 
-// schedulePacer schedules the next sending of waiting datagrams. mu must be held.
-func (l *Link) schedulePacer() {
-	if l.pacing || l.pacer.Empty() {
-		return
+// sendWaiting sends the datagrams that the pacer allows now. mu must be held.
+func (l *Link) sendWaiting(now time.Time) {
+	for _, p := range l.pacer.Due(now) {
+		l.SendPacket(p.To, p.Datagram)
+	}
+	if !l.pacer.Empty() {
+		l.schedule(&l.pacing, paceInterval, l.sendWaiting)
 	}
-	l.pacing = true
-	time.AfterFunc(paceInterval, func() {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.pacing = false
-		for _, p := range l.pacer.Due(time.Now()) {
-			l.SendPacket(p.To, p.Datagram)
-		}
-		l.schedulePacer()
-	})
 }
 
 // sendFragment sends one fragment. mu must be held.
--- a/pollenlink/pacer.go
+++ b/pollenlink/pacer.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"pollenstep.example/pollenstep/pollenbucket"
 )
 
 // Limits of a Pacer, as the time that datagrams take on the host's link.
@@ -31,10 +33,9 @@
 type Pacer struct {
 	// rate is in bytes per second; zero means that nothing is delayed.
 	rate float64
-	// tokens is the number of bytes that may be sent at the time at.
-	tokens float64
-	at     time.Time
-	queue  []Paced
+	// bytes holds the bytes that may be sent.
+	bytes pollenbucket.Bucket
+	queue []Paced
 	// queued is the number of bytes in queue.
 	queued int
 }
@@ -43,21 +44,14 @@
 // is not known.
 func NewPacer(rate float64) *Pacer {
 	const bitsPerByte = 8
-	p := &Pacer{rate: rate / bitsPerByte}
-	p.tokens = p.burst()
-	return p
+	rate /= bitsPerByte
+	return &Pacer{rate: rate, bytes: pollenbucket.New(rate/paceShare, rate*paceBurst.Seconds())}
 }
 
-func (p *Pacer) burst() float64 { return p.rate * paceBurst.Seconds() }
-
 // Send reports whether a datagram of size bytes may be sent now. Otherwise the caller
 // passes it to Wait.
 func (p *Pacer) Send(now time.Time, size int) bool {
-	if p.rate == 0 {
-		return true
-	}
-	p.refill(now)
-	return len(p.queue) == 0 && p.take(size)
+	return p.rate == 0 || len(p.queue) == 0 && p.take(now, size)
 }
 
 // Wait queues a datagram, which the Pacer keeps, behind those that wait already. It
@@ -73,9 +67,8 @@
 
 // Due returns the waiting datagrams that may be sent now.
 func (p *Pacer) Due(now time.Time) []Paced {
-	p.refill(now)
 	n := 0
-	for n < len(p.queue) && p.take(len(p.queue[n].Datagram)) {
+	for n < len(p.queue) && p.take(now, len(p.queue[n].Datagram)) {
 		p.queued -= len(p.queue[n].Datagram)
 		n++
 	}
@@ -90,17 +83,11 @@
 // Empty reports whether no datagram waits.
 func (p *Pacer) Empty() bool { return len(p.queue) == 0 }
 
-func (p *Pacer) refill(now time.Time) {
-	if elapsed := now.Sub(p.at); elapsed > 0 {
-		p.tokens = min(p.burst(), p.tokens+elapsed.Seconds()*p.rate/paceShare)
-		p.at = now
-	}
-}
-
-func (p *Pacer) take(size int) bool {
-	if p.tokens <= 0 {
+// take takes a datagram from the bucket, which may be overdrawn by one.
+func (p *Pacer) take(now time.Time, size int) bool {
+	if p.bytes.Level(now) <= 0 {
 		return false
 	}
-	p.tokens -= float64(size)
+	p.bytes.Take(float64(size))
 	return true
 }
--- a/pollennode/buffer_test.go
+++ b/pollennode/buffer_test.go
@@ -1,20 +1,15 @@
 package pollennode_test
 
 import (
-	"io"
 	"net/netip"
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"pollenstep.example/pollenstep/pollendocument"
 	"pollenstep.example/pollenstep/pollenlink"
-	"pollenstep.example/pollenstep/pollenmetric"
 	"pollenstep.example/pollenstep/pollennode"
 	"pollenstep.example/pollenstep/pollenpacket"
 	"pollenstep.example/pollenstep/pollenpeer"
-	"pollenstep.example/pollenstep/pollenrecord"
 	"pollenstep.example/pollenstep/pollenview"
 	"pollenstep.example/pollenstep/pollenwire"
 )
@@ -35,18 +30,12 @@
 // knows a gate. A reset would use up one of the caller's few retries. The balancer
 // must buffer the packet and pass it exactly once when the first gate is known.
 func TestOpeningIsBufferedDuringStartup(t *testing.T) {
-	metrics, err := pollenmetric.NewSet("test", "balancer", nil)
-	if err != nil {
-		t.Fatal(err)
-	}
 	transport := &countingTransport{nodes: map[netip.AddrPort]int{}}
 	node := netip.MustParseAddrPort("10.0.0.1:7000")
 	gate := netip.MustParseAddrPort("10.0.0.2:7000")
 	service := netip.MustParseAddrPort("198.51.100.1:443")
 	start := time.Unix(1000, 0)
-	b := pollennode.NewBalancer(start, pollennode.Settings{Domain: "a", Node: node, Format: pollenpacket.Plain{}}, pollennode.Dependencies{
-		Transport: transport, Metrics: metrics, Log: pollenrecord.New(io.Discard, logrus.PanicLevel, nil), Seed: 1,
-	})
+	b := newBalancer(t, start, pollennode.Settings{Node: node}, transport)
 	opening := &pollenpacket.Packet{
 		Flow: pollenpacket.Flow{Caller: netip.MustParseAddrPort("100.64.0.7:1"), Service: service}, SYN: true,
 	}
--- a/pollennode/operator_test.go
+++ b/pollennode/operator_test.go
@@ -2,22 +2,16 @@
 
 import (
 	"context"
-	"io"
 	"net/netip"
 	"slices"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"pollenstep.example/pollenstep/pollenlink"
 	"pollenstep.example/pollenstep/pollenlog"
-	"pollenstep.example/pollenstep/pollenmetric"
 	"pollenstep.example/pollenstep/pollennode"
-	"pollenstep.example/pollenstep/pollenpacket"
 	"pollenstep.example/pollenstep/pollenpeer"
-	"pollenstep.example/pollenstep/pollenrecord"
 	"pollenstep.example/pollenstep/pollenview"
 	"pollenstep.example/pollenstep/pollenwire"
 )
@@ -78,17 +72,9 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			metrics, err := pollenmetric.NewSet("test", "balancer", nil)
-			if err != nil {
-				t.Fatal(err)
-			}
 			transport := &answeringTransport{answers: c.answers}
 			start := time.Now()
-			b := pollennode.NewBalancer(start, pollennode.Settings{
-				Domain: "a", Node: netip.MustParseAddrPort("10.0.0.1:7000"), Format: pollenpacket.Plain{},
-			}, pollennode.Dependencies{
-				Transport: transport, Metrics: metrics, Log: pollenrecord.New(io.Discard, logrus.PanicLevel, nil), Seed: 1,
-			})
+			b := newBalancer(t, start, pollennode.Settings{Node: netip.MustParseAddrPort("10.0.0.1:7000")}, transport)
 			transport.balancer = b
 			for _, a := range []netip.AddrPort{former, follower, leader} {
 				heartbeat := pollenpeer.Heartbeat{Peer: pollenpeer.Peer{
--- a/pollennode/redirect_test.go
+++ b/pollennode/redirect_test.go
@@ -1,20 +1,14 @@
 package pollennode_test
 
 import (
-	"io"
 	"net/netip"
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"pollenstep.example/pollenstep/pollenlink"
 	"pollenstep.example/pollenstep/pollenlog"
-	"pollenstep.example/pollenstep/pollenmetric"
 	"pollenstep.example/pollenstep/pollennode"
-	"pollenstep.example/pollenstep/pollenpacket"
 	"pollenstep.example/pollenstep/pollenpeer"
-	"pollenstep.example/pollenstep/pollenrecord"
 	"pollenstep.example/pollenstep/pollenwire"
 )
 
@@ -42,17 +36,8 @@
 		"the leader has fallen silent": {thin, long, leader, 100_000, pollenpeer.FreshAge, netip.AddrPort{}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			metrics, err := pollenmetric.NewSet("test", "balancer", nil)
-			if err != nil {
-				t.Fatal(err)
-			}
 			now := time.Unix(1000, 0)
-			b := pollennode.NewBalancer(now, pollennode.Settings{
-				Domain: "a", Node: netip.MustParseAddrPort("10.0.0.1:7000"), Format: pollenpacket.Plain{}, LinkRate: c.linkRate,
-			}, pollennode.Dependencies{
-				Transport: &countingTransport{nodes: map[netip.AddrPort]int{}}, Metrics: metrics,
-				Log: pollenrecord.New(io.Discard, logrus.PanicLevel, nil), Seed: 1,
-			})
+			b := newBalancer(t, now, pollennode.Settings{Node: netip.MustParseAddrPort("10.0.0.1:7000"), LinkRate: c.linkRate}, &countingTransport{})
 			heartbeat := pollenpeer.Heartbeat{Peer: pollenpeer.Peer{
 				Address: leader, Role: pollenpeer.RoleBalancer, Domain: "a", Incarnation: 1, Sequence: 1, Disk: true, LinkRate: c.leaderRate,
 			}}
--- a/pollenrecord/record.go
+++ b/pollenrecord/record.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"pollenstep.example/pollenstep/pollenbucket"
 )
 
 // Limits of the log.
@@ -37,11 +39,9 @@
 	// unwritten is the number of lines that were queued and are not written yet.
 	unwritten atomic.Int64
 
-	// mu guards the token bucket for decisions (tokens, refilledAt) and the
-	// state of ReportDropped.
+	// mu guards the bucket for decisions and the state of ReportDropped.
 	mu              sync.Mutex
-	tokens          float64
-	refilledAt      time.Time
+	decisions       pollenbucket.Bucket
 	reportedAt      time.Time
 	reportedDropped int64
 }
@@ -50,7 +50,7 @@
 // the given fields, to out. A goroutine writes the lines as long as the process
 // runs; errors of out are ignored.
 func New(out io.Writer, level logrus.Level, fields Fields) *Logger {
-	r := &Logger{lines: make(chan []byte, queueSize), tokens: decisionBurst}
+	r := &Logger{lines: make(chan []byte, queueSize), decisions: pollenbucket.New(decisionRate, decisionBurst)}
 	log := logrus.New()
 	log.SetLevel(level)
 	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "15:04:05.000"})
@@ -97,16 +97,11 @@
 func (r *Logger) AllowDecision(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.refilledAt.IsZero() {
-		r.tokens = min(decisionBurst, r.tokens+now.Sub(r.refilledAt).Seconds()*decisionRate)
-	}
-	r.refilledAt = now
-	if r.tokens < 1 {
+	allowed := r.decisions.TakeOne(now)
+	if !allowed {
 		r.dropped.Add(1)
-		return false
 	}
-	r.tokens--
-	return true
+	return allowed
 }
 
 // Decision logs the decision on one flow or request. AllowDecision must have
--- a/pollensteer/balancer.go
+++ b/pollensteer/balancer.go
@@ -187,7 +187,7 @@
 		panic(err)
 	}
 	return &Balancer{
-		config: config, policy: policy, freshAge: pollenpeer.FreshAge, gatesComplete: true, budget: newBudget(config.StartTime, config.LinkRate), random: rand.New(rand.NewPCG(config.Seed, 1)),
+		config: config, policy: policy, freshAge: pollenpeer.FreshAge, gatesComplete: true, budget: newBudget(config.LinkRate), random: rand.New(rand.NewPCG(config.Seed, 1)),
 		routes: map[netip.AddrPort]*route{}, gates: map[netip.AddrPort]*gate{},
 		services: map[pollendocument.ServiceName][]*gate{}, flowCache: map[key]flowEntry{},
 	}
--- a/pollensteer/budget.go
+++ b/pollensteer/budget.go
@@ -1,6 +1,10 @@
 package pollensteer
 
-import "time"
+import (
+	"time"
+
+	"pollenstep.example/pollenstep/pollenbucket"
+)
 
 // queryBits is the size of one query to a gate on the link, in bits: header,
 // flow and position, with the overhead of UDP, IP and Ethernet.
@@ -22,24 +26,19 @@
 	queryTimeout = 150 * time.Millisecond
 )
 
-// A budget is a token bucket that bounds the queries of a balancer. After a
-// power loss every old flow is searched at every gate; without a limit the
-// queries saturate a slow link, and neither they nor opening packets arrive.
-type budget struct {
-	// rate is in queries per second.
-	rate      float64
-	remaining float64
-	updatedAt time.Time
-}
+// A budget bounds the queries of a balancer; its tokens are queries. After a power loss
+// every old flow is searched at every gate; without a limit the queries saturate a slow
+// link, and neither they nor opening packets arrive.
+type budget struct{ pollenbucket.Bucket }
 
 // newBudget returns a full budget for a link whose rate is given in bits per
 // second; zero means that the rate is unknown.
-func newBudget(now time.Time, linkRate float64) budget {
+func newBudget(linkRate float64) budget {
 	rate := float64(maxQueryRate)
 	if linkRate > 0 {
 		rate = min(rate, linkRate*searchLinkShare/queryBits)
 	}
-	return budget{rate: rate, remaining: rate * searchBurst.Seconds(), updatedAt: now}
+	return budget{pollenbucket.New(rate, rate*searchBurst.Seconds())}
 }
 
 // take takes the queries of one search from the budget and reports whether they
@@ -47,16 +46,14 @@
 // budget is full. A search that is not urgent leaves half of the capacity to
 // those that are.
 func (b *budget) take(now time.Time, queries int, urgent bool) bool {
-	capacity := b.rate * searchBurst.Seconds()
-	b.remaining = min(capacity, b.remaining+now.Sub(b.updatedAt).Seconds()*b.rate)
-	b.updatedAt = now
+	capacity := b.Capacity()
 	needed := min(capacity, float64(queries))
 	if !urgent {
 		needed = min(capacity, needed+capacity/2)
 	}
-	if b.remaining < needed {
+	if b.Level(now) < needed {
 		return false
 	}
-	b.remaining -= float64(queries)
+	b.Take(float64(queries))
 	return true
 }
