Soak: an acknowledgement counts for the incarnation that reported

Cause: sendReports recorded the acknowledgement of a draining report on the server as it was when the answer came. A server that was replaced while its last report was on its way handed the drain on to its successor, which is ready and gets new flows, as it should. The fault is in the check, not in the system.

The drain now belongs to an incarnation, and answers to reports of others do not count. TestReplacedServerHasNotDrained fails without that condition ('drained for 1m0s after the answer to a report of the replaced incarnation').

--- a/pollensoak/fault.go
+++ b/pollensoak/fault.go
@@ -214,7 +214,7 @@
 	}
 	r.spawn(func() {
 		defer r.releaseHost(h)
-		h.server.drain()
+		h.server.startDrain()
 		time.Sleep(drainDeadline + time.Second)
 		h.server.replace()
 	})
--- a/pollensoak/server.go
+++ b/pollensoak/server.go
@@ -47,9 +47,8 @@
 	// sequence is the number of the last report of the current incarnation.
 	sequence uint64
 	draining bool
-	// drainedAt is when the gate acknowledged the drain, and zero before.
-	drainedAt time.Time
-	stopped   bool
+	drain    Drain
+	stopped  bool
 }
 
 // serverFlow is the state of a flow at its backend server.
@@ -75,6 +74,7 @@
 		run: r, host: h, service: service, conn: conn, incarnation: r.lastIncarnation.Add(1),
 		outbound: netip.AddrPortFrom(h.IP, platform.StandInOutboundPort), flows: map[pollenpacket.Flow]*serverFlow{},
 	}
+	s.drain = NewDrain(s.incarnation)
 	go s.receive()
 	go s.sendReports()
 	return s, nil
@@ -129,8 +129,8 @@
 	if p.Flow.Service != s.run.addresses[s.service] {
 		s.run.check.addViolation("misrouted", fmt.Sprintf("%s of service %s received a flow to %s", s.host.Name, services[s.service].name, p.Flow.Service))
 	}
-	if !s.drainedAt.IsZero() && time.Since(s.drainedAt) > drainDeadline && s.run.isUndisturbed(s.host) && f == nil {
-		s.run.check.addViolation("drained", fmt.Sprintf("%s received a flow %s after it had drained", s.host.Name, time.Since(s.drainedAt)))
+	if drained := s.drain.Since(time.Now()); drained > drainDeadline && s.run.isUndisturbed(s.host) && f == nil {
+		s.run.check.addViolation("drained", fmt.Sprintf("%s received a flow %s after it had drained", s.host.Name, drained))
 	}
 	if f == nil {
 		// The initial position varies with the flow and the incarnation.
@@ -205,9 +205,7 @@
 		s.mu.Unlock()
 		if requestStatus(client, http.MethodPut, base, platform.StandInReportBody(&r, netip.AddrPortFrom(s.host.IP, platform.StandInServerPort))) == http.StatusOK {
 			s.mu.Lock()
-			if r.State == pollenpeer.ServerDraining && s.drainedAt.IsZero() {
-				s.drainedAt = time.Now()
-			}
+			s.drain.Acknowledge(time.Now(), r.Incarnation, r.State)
 			s.mu.Unlock()
 		}
 		time.Sleep(platform.StandInReportInterval)
@@ -236,11 +234,11 @@
 	defer s.mu.Unlock()
 	s.flows = map[pollenpacket.Flow]*serverFlow{}
 	s.incarnation, s.sequence = s.run.lastIncarnation.Add(1), 0
-	s.draining, s.drainedAt = false, time.Time{}
+	s.draining, s.drain = false, NewDrain(s.incarnation)
 }
 
-// drain starts draining the server, which its next report announces to the gate.
-func (s *server) drain() {
+// startDrain starts draining the server, which its next report announces to the gate.
+func (s *server) startDrain() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.draining = true
