A balancer that has just started goes by those that know most

Heartbeats now carry the number of balancers that their sender knows, and a process takes the largest of its own and those as the size of the system. As each states what it counts itself, a system that shrinks is small again.

TestNewcomerGoesByThoseWhoKnowMore fails without it ('relayed: false, every gate known: true').

--- a/pollenpeer/peer.go
+++ b/pollenpeer/peer.go
@@ -111,6 +111,9 @@
 	// Gates lists the gates that recently sent a heartbeat to the sender. It is set
 	// only in the reply to a new balancer.
 	Gates []netip.AddrPort
+	// KnownBalancers is the number of balancers that the sender knows, itself not
+	// included; zero if the sender is a gate.
+	KnownBalancers int
 	// Relayed is set if the sender sends its heartbeats to relays only, and Report if
 	// this one is sent to the receiver as a relay of the sender.
 	Relayed, Report bool
@@ -141,6 +144,8 @@
 	// MissesSelf is set if the peer stated in its last heartbeat that it receives none
 	// from this process.
 	MissesSelf bool
+	// knownBalancers is that of the peer's last heartbeat.
+	knownBalancers int
 	// snapshotAt is when the peer was last sent a snapshot because it lacked peers.
 	snapshotAt time.Time
 	// passes is the number of rounds in which the peer is still passed on as changed.
--- a/pollenpeer/relay.go
+++ b/pollenpeer/relay.go
@@ -64,13 +64,20 @@
 func (t *Table) Relayed() bool { return t.relayed }
 
 // updateRelayed decides between heartbeats to all balancers and to relays, with
-// hysteresis. Gates know few balancers and follow what these do.
+// hysteresis. Gates know few balancers and follow what these do. A balancer that has
+// just started knows few as well, and goes by those that know most.
 func (t *Table) updateRelayed() {
+	if t.self.Role == RoleGate {
+		return
+	}
+	known := len(t.balancers)
+	for _, a := range t.balancers {
+		known = max(known, t.peers[a].knownBalancers)
+	}
 	switch {
-	case t.self.Role == RoleGate:
-	case len(t.balancers) > meshLimit:
+	case known > meshLimit:
 		t.relayed = true
-	case len(t.balancers) < meshLimit*3/4:
+	case known < meshLimit*3/4:
 		t.relayed = false
 	}
 }
--- a/pollenpeer/relay_test.go
+++ b/pollenpeer/relay_test.go
@@ -215,6 +215,24 @@
 	}
 }
 
+// TestNewcomerGoesByThoseWhoKnowMore guards against a balancer that takes a large system
+// for a small one, since it knows only a few peers of it, and then believes that every
+// gate would have sent it a heartbeat.
+func TestNewcomerGoesByThoseWhoKnowMore(t *testing.T) {
+	all := members()
+	tb := largeTable(startTime, member(1, 50, pollenpeer.RoleBalancer), all[:balancersInDomain+10])
+	h := pollenpeer.Heartbeat{Peer: all[0], Relayed: true, KnownBalancers: domains * balancersInDomain}
+	h.Peer.Sequence = 2
+	tb.Receive(startTime, &h)
+	if !tb.Relayed() || tb.Complete(startTime) {
+		t.Fatalf("relayed: %t, every gate known: %t; want a large system with unknown gates", tb.Relayed(), tb.Complete(startTime))
+	}
+	h.Peer.Sequence, h.KnownBalancers = 3, balancersInDomain
+	if tb.Receive(startTime, &h); tb.Relayed() {
+		t.Fatal("the system still counts as large although all know few balancers")
+	}
+}
+
 // TestSnapshotIsRepeated guards against a relay that sends the snapshot only once,
 // though it may be lost, and against one that sends it with every heartbeat.
 func TestSnapshotIsRepeated(t *testing.T) {
--- a/pollenpeer/schedule.go
+++ b/pollenpeer/schedule.go
@@ -114,6 +114,9 @@
 		Peer: t.self, Relayed: t.relayed, Unheard: t.unheard(now),
 		Incomplete: !t.incompleteSince.IsZero() && now.Sub(t.incompleteSince) >= incompleteTimeout,
 	}
+	if t.self.Role == RoleBalancer {
+		heartbeat.KnownBalancers = len(t.balancers)
+	}
 	if t.relayed {
 		return heartbeat
 	}
--- a/pollenpeer/table.go
+++ b/pollenpeer/table.go
@@ -163,6 +163,10 @@
 	if heartbeat.Report {
 		e.ReportedAt = now
 	}
+	if e.knownBalancers != heartbeat.KnownBalancers {
+		e.knownBalancers = heartbeat.KnownBalancers
+		t.updateRelayed()
+	}
 	e.MissesSelf = slices.Contains(heartbeat.Unheard, t.self.Address)
 	for i := range heartbeat.Vouches {
 		v := &heartbeat.Vouches[i]
--- a/pollenwire/peer.go
+++ b/pollenwire/peer.go
@@ -28,6 +28,7 @@
 	node(c, &h.BootstrapHost)
 	list(c, &h.Balancers, node)
 	list(c, &h.Gates, node)
+	signed(c, &h.KnownBalancers)
 	boolean(c, &h.Relayed)
 	boolean(c, &h.Report)
 	boolean(c, &h.Incomplete)
--- a/pollenwire/wire_test.go
+++ b/pollenwire/wire_test.go
@@ -72,7 +72,7 @@
 	roundTrip(t, &pollenpeer.Heartbeat{
 		Peer:   pollenpeer.Peer{Address: caller, Role: pollenpeer.RoleBalancer, Domain: "a", Disk: true, FirstStart: true, LinkRate: 2000},
 		Leader: caller, Term: 3, LeaderAge: time.Second, BootstrapHost: caller, Balancers: []netip.AddrPort{caller},
-		Relayed: true, Report: true, Incomplete: true, Unheard: []netip.AddrPort{caller},
+		KnownBalancers: 300, Relayed: true, Report: true, Incomplete: true, Unheard: []netip.AddrPort{caller},
 		Facts:   []pollenpeer.Fact{{Peer: gate, Age: time.Second, SeenAge: time.Millisecond}},
 		Vouches: []pollenpeer.Vouch{{Relay: caller, Domain: "b", Age: time.Second, Unheard: []netip.AddrPort{caller}, Gone: []netip.AddrPort{caller}, Gates: 1 << 63}},
 	}, pollenwire.MapPeerHeartbeat)
