A failure domain of which nobody is known counts as unknown, not as empty

A newcomer that knew no gate of a domain took it for one without gates, and reset the flows of its servers; one that had heard only its own domain, which had lost power, took the whole system for restarted and reset flows 300 ms after its start.

The failure domains come from the settings now. Every gate is known only if a relay vouches for each of them, and the system has restarted only if peers of each have. A domain that is lost whole is vouched for by nobody: its callers' flows are not reset any more, until it returns; callers wait for their time-outs instead.

--- a/pollenemulator/event.go
+++ b/pollenemulator/event.go
@@ -12,7 +12,7 @@
 	case EventDeclare:
 		w.repeat(e, func(int) { w.operator.declare() })
 	case EventAddBalancers:
-		w.addBalancers(false)
+		w.addBalancers(false, e.For)
 	case EventPowerOff:
 		w.powerOff(e.For)
 	case EventPartition:
--- a/pollenemulator/host.go
+++ b/pollenemulator/host.go
@@ -32,6 +32,9 @@
 	gate        *pollennode.Gate
 	// frozenUntil is the end of the host's last freeze.
 	frozenUntil time.Time
+	// chokedUntil is the time before which messages of several datagrams do not reach
+	// the host.
+	chokedUntil time.Time
 	// cuts counts the partitions of this host that are in effect.
 	cuts cuts
 	// sentBytes is what the host has sent to other nodes.
@@ -71,7 +74,7 @@
 	h.incarnation++
 	h.down = false
 	s := pollennode.Settings{
-		Name: h.node.String(), Domain: h.domain, Node: h.node, Seeds: h.w.seeds, FirstStart: firstStart, CallerPort: callerPort,
+		Name: h.node.String(), Domain: h.domain, Domains: h.w.plan.Domains, Node: h.node, Seeds: h.w.seeds, FirstStart: firstStart, CallerPort: callerPort,
 		Callers: netip.AddrPortFrom(h.node.Addr(), callerPort), Format: pollenpacket.Plain{},
 		Bounds: pollengate.Bounds{ColdFactor: 1.5, ColdSlack: 5, ReportInterval: reportInterval},
 	}
--- a/pollenemulator/plan.go
+++ b/pollenemulator/plan.go
@@ -122,7 +122,8 @@
 	EventEvacuate EventKind = "empty"
 	// EventDeclare submits a document with a higher version.
 	EventDeclare EventKind = "declare"
-	// EventAddBalancers adds a balancer to each failure domain.
+	// EventAddBalancers adds a balancer to each failure domain. For Event.For no message
+	// of several datagrams reaches them, as over a link that is full.
 	EventAddBalancers EventKind = "add"
 )
 
--- a/pollenemulator/world.go
+++ b/pollenemulator/world.go
@@ -39,6 +39,9 @@
 // datagramOverhead is the size of the headers of UDP and IP in bytes.
 const datagramOverhead = 28
 
+// maxDatagram is the size in bytes above which a message takes several datagrams.
+const maxDatagram = 1200
+
 // Ports of the emulated hosts.
 const (
 	nodePort   = 7000
@@ -161,7 +164,7 @@
 	}
 	w.seeds = w.seeds[:min(len(w.seeds), 3)]
 	for range p.Balancers {
-		w.addBalancers(true)
+		w.addBalancers(true, 0)
 	}
 	n := 0
 	for i := range p.Services {
@@ -184,12 +187,13 @@
 }
 
 // addBalancers adds a balancer to each failure domain, with a disk if the domain has
-// fewer than plan.Disks balancers.
-func (w *world) addBalancers(firstStart bool) {
+// fewer than plan.Disks balancers. Long messages do not reach it while it is choked.
+func (w *world) addBalancers(firstStart bool, choked time.Duration) {
 	for z, d := range w.plan.Domains {
 		r := w.routers[d]
 		number := len(r.balancers) + 1
 		h := newHost(w, z, number)
+		h.chokedUntil = w.now.Add(choked)
 		if number <= w.plan.Disks {
 			h.disk = newDisk(w.random.Uint64())
 		}
@@ -219,7 +223,7 @@
 	from.sentBytes += size + datagramOverhead
 	h, known := w.nodes[to]
 	d, ok := w.delay(from.domain, w.domainOf(to))
-	if !known || !ok || from.cuts.out > 0 || h.cuts.in > 0 {
+	if !known || !ok || from.cuts.out > 0 || h.cuts.in > 0 || size > maxDatagram && w.now.Before(h.chokedUntil) {
 		return
 	}
 	w.measurements.messages++
--- a/pollennode/base.go
+++ b/pollennode/base.go
@@ -45,7 +45,7 @@
 	self.Incarnation = uint64(uint32(deps.Seed) | 1)
 	return &base{
 		settings: s, startTime: now, log: deps.Log, metrics: deps.Metrics, transport: deps.Transport,
-		table: pollenpeer.NewTable(self, s.Seeds),
+		table: pollenpeer.NewTable(self, s.Domains, s.Seeds),
 		view:  pollenview.NewReplica(pollenview.NewView()), lastUpdate: map[netip.AddrPort]time.Time{},
 		behindSince: map[netip.AddrPort]time.Time{},
 	}
--- a/pollennode/settings.go
+++ b/pollennode/settings.go
@@ -20,6 +20,9 @@
 	// Name identifies the process in logs and metrics.
 	Name   string
 	Domain pollendocument.DomainName
+	// Domains are the failure domains of the system. If it is empty, those of the known
+	// peers are used.
+	Domains []pollendocument.DomainName
 	// Node is the UDP address for packets and messages of other nodes.
 	Node netip.AddrPort
 	// Seeds are the node addresses of the hosts that existed when the settings were
--- a/pollenpeer/fact.go
+++ b/pollenpeer/fact.go
@@ -144,9 +144,9 @@
 	return removed
 }
 
-// Complete reports whether this process knows every gate: in each failure domain
-// that has or recently had gates, a relay must have vouched lately for exactly the
-// gates that are known here. Without relays it returns true.
+// Complete reports whether this process knows every gate: in each failure domain, a
+// relay must have vouched lately for exactly the gates that are known here. Without
+// relays it returns true.
 func (t *Table) Complete(now time.Time) bool {
 	complete := !t.relayed || t.allDomainsComplete(now)
 	switch {
@@ -160,6 +160,9 @@
 
 func (t *Table) allDomainsComplete(now time.Time) bool {
 	pending := map[pollendocument.DomainName]bool{}
+	for _, domain := range t.domains {
+		pending[domain] = true
+	}
 	for _, e := range t.peers {
 		if e.Peer.Role == RoleGate {
 			pending[e.Peer.Domain] = true
--- a/pollenpeer/isolation.go
+++ b/pollenpeer/isolation.go
@@ -1,6 +1,11 @@
 package pollenpeer
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"pollenstep.example/pollenstep/pollendocument"
+)
 
 // Limits of the isolation check.
 const (
@@ -61,13 +66,16 @@
 
 // Restarted reports whether every peer with a fresh heartbeat has just started,
 // with its backend server if it has one. The whole system was then down, and no
-// flow from before exists. It returns false while no gate is known.
+// flow from before exists. It returns false while no gate is known, or no peer in one
+// of the failure domains: only some of them may have been down.
 func (t *Table) Restarted(now time.Time) bool {
 	gates, empty := 0, 0
+	unheard := slices.Clone(t.domains)
 	for _, e := range t.peers {
 		if now.Sub(e.LastSeen) >= t.FreshAge() {
 			continue
 		}
+		unheard = slices.DeleteFunc(unheard, func(domain pollendocument.DomainName) bool { return domain == e.Peer.Domain })
 		switch e.Peer.Role {
 		case RoleGate:
 			gates++
@@ -83,5 +91,5 @@
 			}
 		}
 	}
-	return gates > 0 && empty*maxEmptyShare <= gates
+	return len(unheard) == 0 && gates > 0 && empty*maxEmptyShare <= gates
 }
--- a/pollenpeer/relay_test.go
+++ b/pollenpeer/relay_test.go
@@ -22,6 +22,15 @@
 	return pollendocument.DomainName(fmt.Sprintf("d%d", d))
 }
 
+// allDomains returns the failure domains of a large system.
+func allDomains() []pollendocument.DomainName {
+	var all []pollendocument.DomainName
+	for d := range domains {
+		all = append(all, domainName(d))
+	}
+	return all
+}
+
 func member(domain, number int, role pollenpeer.Role) pollenpeer.Peer {
 	return pollenpeer.Peer{
 		Address: netip.MustParseAddrPort(fmt.Sprintf("10.%d.0.%d:7000", domain, number)), Role: role,
@@ -53,7 +62,7 @@
 
 // largeTable returns the table of a process that knows the peers by facts only.
 func largeTable(now time.Time, self pollenpeer.Peer, known []pollenpeer.Peer) *pollenpeer.Table {
-	tb := pollenpeer.NewTable(self, nil)
+	tb := pollenpeer.NewTable(self, allDomains(), nil)
 	tb.MergeFacts(now, factsOf(known))
 	return tb
 }
@@ -215,6 +224,23 @@
 	}
 }
 
+// TestUnknownDomainIsNoticed guards against resets of flows in a failure domain of which
+// no gate is known yet, so that it seems to have none.
+func TestUnknownDomainIsNoticed(t *testing.T) {
+	all := members()
+	const size = balancersInDomain + gatesInDomain
+	tb := largeTable(startTime, member(1, 5, pollenpeer.RoleBalancer), all[:len(all)-gatesInDomain])
+	receive(tb, startTime, vouchesOf(startTime, 2, all, domains))
+	if tb.Complete(startTime) {
+		t.Fatalf("no gate counts as missing although none of domain %s is known", domainName(domains-1))
+	}
+	tb = largeTable(startTime, member(1, 5, pollenpeer.RoleBalancer), all[:(domains-1)*size])
+	receive(tb, startTime, vouchesOf(startTime, 2, all, domains-1))
+	if tb.Complete(startTime) {
+		t.Fatalf("no gate counts as missing although no peer of domain %s is known", domainName(domains-1))
+	}
+}
+
 // TestNewcomerGoesByThoseWhoKnowMore guards against a balancer that takes a large system
 // for a small one, since it knows only a few peers of it, and then believes that every
 // gate would have sent it a heartbeat.
@@ -361,7 +387,7 @@
 	all := members()
 	seed := netip.MustParseAddrPort("10.9.0.1:7000")
 	self := all[balancersInDomain]
-	tb := pollenpeer.NewTable(self, []netip.AddrPort{seed})
+	tb := pollenpeer.NewTable(self, allDomains(), []netip.AddrPort{seed})
 	known := all[:4]
 	hear(tb, startTime, 2, false, known...)
 	tb.DuePeers(startTime)
--- a/pollenpeer/table.go
+++ b/pollenpeer/table.go
@@ -35,6 +35,8 @@
 type Table struct {
 	self  Peer
 	seeds []netip.AddrPort
+	// domains holds the failure domains of the system.
+	domains []pollendocument.DomainName
 	// seedAttempts is the number of heartbeats to seeds since a peer was last known, and
 	// nextSeedAt when the next one is due.
 	seedAttempts int
@@ -81,11 +83,11 @@
 	lastSeen, until time.Time
 }
 
-// NewTable returns a new Table of the process that self describes. The own
-// address is ignored among the seeds.
-func NewTable(self Peer, seeds []netip.AddrPort) *Table {
+// NewTable returns a new Table of the process that self describes, in a system with
+// these failure domains. The own address is ignored among the seeds.
+func NewTable(self Peer, domains []pollendocument.DomainName, seeds []netip.AddrPort) *Table {
 	t := &Table{
-		self: self, peers: map[netip.AddrPort]*Entry{}, candidates: map[netip.AddrPort]time.Time{},
+		self: self, domains: domains, peers: map[netip.AddrPort]*Entry{}, candidates: map[netip.AddrPort]time.Time{},
 		nextDue: map[netip.AddrPort]time.Time{}, relays: map[pollendocument.DomainName][]netip.AddrPort{},
 		reportedSince: map[netip.AddrPort]time.Time{}, silentRelays: map[netip.AddrPort]time.Time{},
 		vouches: map[vouchKey]heldVouch{}, gone: map[netip.AddrPort]tombstone{},
--- a/pollenpeer/table_test.go
+++ b/pollenpeer/table_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"pollenstep.example/pollenstep/pollendocument"
 	"pollenstep.example/pollenstep/pollenpeer"
 )
 
@@ -22,7 +23,7 @@
 }
 
 func table(seeds ...netip.AddrPort) *pollenpeer.Table {
-	return pollenpeer.NewTable(pollenpeer.Peer{Address: address(1), Role: pollenpeer.RoleBalancer}, seeds)
+	return pollenpeer.NewTable(pollenpeer.Peer{Address: address(1), Role: pollenpeer.RoleBalancer}, nil, seeds)
 }
 
 // TestPeerDiscoveryFromSeed guards against balancers that are never discovered
@@ -109,7 +110,7 @@
 	for g := 100; g < 140; g++ {
 		nearest := 0
 		for self := 1; self <= balancers; self++ {
-			tb := pollenpeer.NewTable(pollenpeer.Peer{Address: address(self), Role: pollenpeer.RoleBalancer}, nil)
+			tb := pollenpeer.NewTable(pollenpeer.Peer{Address: address(self), Role: pollenpeer.RoleBalancer}, nil, nil)
 			for n := 1; n <= balancers; n++ {
 				tb.Receive(startTime, heartbeat(n, 1))
 			}
@@ -130,7 +131,7 @@
 	for a := 100; a < 140; a++ {
 		senders := 0
 		for self := 1; self <= holders; self++ {
-			tb := pollenpeer.NewTable(pollenpeer.Peer{Address: address(self), Role: pollenpeer.RoleBalancer, Revision: 1}, nil)
+			tb := pollenpeer.NewTable(pollenpeer.Peer{Address: address(self), Role: pollenpeer.RoleBalancer, Revision: 1}, nil, nil)
 			for n := 1; n <= balancers; n++ {
 				h := heartbeat(n, 1)
 				if n <= holders {
@@ -157,7 +158,7 @@
 	}{
 		"thin among fast": {2_000, 100_000, false}, "fast among thin": {100_000, 2_000, true},
 	} {
-		tb := pollenpeer.NewTable(pollenpeer.Peer{Address: address(1), Role: pollenpeer.RoleBalancer, Revision: 1, LinkRate: c.own}, nil)
+		tb := pollenpeer.NewTable(pollenpeer.Peer{Address: address(1), Role: pollenpeer.RoleBalancer, Revision: 1, LinkRate: c.own}, nil, nil)
 		for n := range 5 {
 			h := heartbeat(2+n, 1)
 			h.Peer.Revision, h.Peer.LinkRate = 1, c.others
@@ -180,7 +181,7 @@
 	var tables []*pollenpeer.Table
 	for n := range processes {
 		self := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1 + byte(n/200), byte(n % 200)}), 7000)
-		tables = append(tables, pollenpeer.NewTable(pollenpeer.Peer{Address: self, Role: pollenpeer.RoleGate}, seeds))
+		tables = append(tables, pollenpeer.NewTable(pollenpeer.Peer{Address: self, Role: pollenpeer.RoleGate}, nil, seeds))
 	}
 	// sent counts the heartbeats to each seed in each second.
 	sent := map[netip.AddrPort][5]int{}
@@ -248,3 +249,23 @@
 		}
 	}
 }
+
+// TestRestartOfOneDomain guards against a process that takes the loss of its failure
+// domain's power for that of the whole system, since it has not heard the others yet.
+func TestRestartOfOneDomain(t *testing.T) {
+	tb := pollenpeer.NewTable(pollenpeer.Peer{Address: address(1), Role: pollenpeer.RoleBalancer, Domain: "a"}, []pollendocument.DomainName{"a", "b"}, nil)
+	started := func(n int, domain pollendocument.DomainName) *pollenpeer.Heartbeat {
+		b := heartbeat(n, 1)
+		b.Peer.Role, b.Peer.Domain = pollenpeer.RoleGate, domain
+		b.Peer.Server = pollenpeer.Server{Service: "rings", State: pollenpeer.ServerReady, Starting: true}
+		return b
+	}
+	tb.Receive(startTime, started(2, "a"))
+	if tb.Restarted(startTime) {
+		t.Fatal("the system counts as restarted although no peer of domain b is known")
+	}
+	tb.Receive(startTime, started(3, "b"))
+	if !tb.Restarted(startTime) {
+		t.Fatal("the system does not count as restarted although peers of both domains have just started")
+	}
+}
