A relay that has just started does not vouch for all gates of its domain

A newcomer on a fast link becomes the first relay at once, and its sum was of the few gates that it had heard so far; another newcomer that knew the same few believed that it knew all.

A statement now says whether it is about all gates. A relay says so once another relay that does hears exactly the same gates, or if there is none and it has run for five heartbeat intervals, as after a restart of the whole system. Knowledge passes from those that have it, and time counts only where nobody does.

With that, gates may be missing for want of such a statement.

--- a/pollennode/balancer.go
+++ b/pollennode/balancer.go
@@ -61,6 +61,8 @@
 	// until the first seed has chosen it.
 	bootstrapHost netip.AddrPort
 	lastCallID    uint64
+	// unsure is set while this process has not known for long whether it lacks gates.
+	unsure bool
 	// calls holds the channel for the answer to each open call, by the call's ID.
 	calls map[uint64]chan pollenlink.Answer
 	// searchBuffer holds the last packet of each flow whose holder is searched.
--- a/pollennode/tick.go
+++ b/pollennode/tick.go
@@ -26,7 +26,7 @@
 		b.log.Info("peer lost", peerFields(&p))
 	}
 	b.steer.Sweep(now)
-	b.steer.SetRelayed(b.table.FreshAge(), b.table.Complete(now))
+	b.updateComplete(now)
 	b.updateRestarted(now)
 	for _, p := range b.steer.TakeLostFlows(now) {
 		b.sendReset(&p)
@@ -42,6 +42,18 @@
 	b.log.ReportDropped(now)
 }
 
+// updateComplete detects whether this process may lack gates, so that it must not reset
+// a flow that no known gate holds. mu must be held.
+func (b *Balancer) updateComplete(now time.Time) {
+	b.steer.SetRelayed(b.table.FreshAge(), b.table.Complete(now))
+	if unsure := b.table.Unsure(now); unsure != b.unsure {
+		b.unsure = unsure
+		b.log.Info("knowledge of gates changed", pollenrecord.Fields{
+			"unsure": unsure, "domains": b.table.UnknownDomains(now), "gates": b.steer.GateCount(), "uptime": now.Sub(b.startTime).String(),
+		})
+	}
+}
+
 // updateRestarted detects whether the whole system has just started, which changes
 // how flows are searched. mu must be held.
 func (b *Balancer) updateRestarted(now time.Time) {
--- a/pollenpeer/fact.go
+++ b/pollenpeer/fact.go
@@ -1,6 +1,7 @@
 package pollenpeer
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -34,6 +35,8 @@
 	// Gates is the sum of the hashes of the gates that the relay hears, by which a
 	// receiver finds out whether it knows all of them.
 	Gates uint64
+	// Complete is set if these and those in Unheard are all gates of the domain.
+	Complete bool
 }
 
 // A vouchKey identifies the statements of which only the newest is kept.
@@ -145,20 +148,56 @@
 }
 
 // Complete reports whether this process knows every gate: in each failure domain, a
-// relay must have vouched lately for exactly the gates that are known here. Without
-// relays it returns true.
+// relay that knows all its gates must have vouched lately for exactly those that are
+// known here. Without relays it returns true.
 func (t *Table) Complete(now time.Time) bool {
-	complete := !t.relayed || t.allDomainsComplete(now)
+	var unknown []pollendocument.DomainName
+	if t.relayed {
+		unknown = t.UnknownDomains(now)
+	}
+	t.unknownSince = since(now, t.unknownSince, len(unknown) > 0)
+	t.incompleteSince = since(now, t.incompleteSince, t.contradicted(now, unknown))
+	return len(unknown) == 0
+}
+
+// since returns since when a condition holds, given what it returned last; zero if the
+// condition does not hold now.
+func since(now, last time.Time, holds bool) time.Time {
 	switch {
-	case complete:
-		t.incompleteSince = time.Time{}
-	case t.incompleteSince.IsZero():
-		t.incompleteSince = now
+	case !holds:
+		return time.Time{}
+	case last.IsZero():
+		return now
 	}
-	return complete
+	return last
 }
 
-func (t *Table) allDomainsComplete(now time.Time) bool {
+// Unsure reports whether this process has not known for long, when Complete was last
+// called, whether gates are missing.
+func (t *Table) Unsure(now time.Time) bool {
+	return !t.unknownSince.IsZero() && now.Sub(t.unknownSince) >= incompleteTimeout
+}
+
+// lacking reports whether gates that a relay hears have been missing for so long that
+// they do not arrive by themselves.
+func (t *Table) lacking(now time.Time) bool {
+	return !t.incompleteSince.IsZero() && now.Sub(t.incompleteSince) >= incompleteTimeout
+}
+
+// contradicted reports whether a relay of one of the domains hears other gates there
+// than are known here.
+func (t *Table) contradicted(now time.Time, domains []pollendocument.DomainName) bool {
+	for key, v := range t.vouches {
+		if slices.Contains(domains, key.domain) && now.Sub(v.madeAt) < RelayedFreshAge && !t.matches(&v.Vouch) {
+			return true
+		}
+	}
+	return false
+}
+
+// UnknownDomains returns the failure domains in which gates may be missing in this table
+// while heartbeats are relayed, sorted.
+func (t *Table) UnknownDomains(now time.Time) []pollendocument.DomainName {
 	pending := map[pollendocument.DomainName]bool{}
 	for _, domain := range t.domains {
 		pending[domain] = true
@@ -174,17 +213,19 @@
 		}
 	}
 	for key, v := range t.vouches {
-		if pending[key.domain] && now.Sub(v.madeAt) < RelayedFreshAge && t.matches(&v.Vouch) {
+		if pending[key.domain] && now.Sub(v.madeAt) < RelayedFreshAge && v.Complete && t.matches(&v.Vouch) {
 			delete(pending, key.domain)
 		}
 	}
 	if len(pending) > 0 {
 		// A relay itself hears what the statements are made of.
 		for _, v := range t.ownVouches(now) {
-			delete(pending, v.Domain)
+			if v.Complete {
+				delete(pending, v.Domain)
+			}
 		}
 	}
-	return len(pending) == 0
+	return slices.SortedFunc(maps.Keys(pending), compareDomains)
 }
 
 // matches reports whether the known gates are those that the relay hears, and the
@@ -250,11 +291,34 @@
 		slices.SortFunc(v.Gone, netip.AddrPort.Compare)
 		v.Unheard, v.Gone = v.Unheard[:min(len(v.Unheard), maxUnheard)], v.Gone[:min(len(v.Gone), maxUnheard)]
 		v.Gates = t.gateSum(&v)
+		t.settled[domain] = t.settled[domain] || t.settles(now, domain)
+		v.Complete = t.settled[domain]
 		own = append(own, v)
 	}
 	return own
 }
 
+// settleTime is the uptime after which a relay has heard every gate of its domain:
+// some of their heartbeats may be lost.
+const settleTime = 5 * HeartbeatInterval
+
+// settles reports whether this process, a relay of the domain, knows every gate of it:
+// another relay that does vouches for exactly these, or there is no such relay and
+// this process has run for settleTime.
+func (t *Table) settles(now time.Time, domain pollendocument.DomainName) bool {
+	alone := true
+	for key, v := range t.vouches {
+		if key.domain != domain || !v.Complete || now.Sub(v.madeAt) >= RelayedFreshAge {
+			continue
+		}
+		if t.matches(&v.Vouch) {
+			return true
+		}
+		alone = false
+	}
+	return alone && t.self.Uptime >= settleTime
+}
+
 // twoWay reports whether this process receives heartbeats from the peer and the
 // peer does not report that it receives none from this process.
 func (t *Table) twoWay(now time.Time, e *Entry) bool {
--- a/pollenpeer/relay.go
+++ b/pollenpeer/relay.go
@@ -1,6 +1,7 @@
 package pollenpeer
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -85,6 +86,9 @@
 // updateRelays chooses the relays of every failure domain.
 func (t *Table) updateRelays(now time.Time) {
 	clear(t.relays)
+	defer maps.DeleteFunc(t.settled, func(domain pollendocument.DomainName, _ bool) bool {
+		return !slices.Contains(t.relays[domain], t.self.Address)
+	})
 	if !t.relayed {
 		return
 	}
--- a/pollenpeer/relay_test.go
+++ b/pollenpeer/relay_test.go
@@ -165,6 +165,7 @@
 	for d := range count {
 		domain := all[d*size : (d+1)*size]
 		relay := largeTable(now, domain[0], all)
+		relay.Self().Uptime = time.Minute
 		relay.ReportTargets(now)
 		hear(relay, now, 2, true, domain[1:]...)
 		r, _ := relay.NextRound(now)
@@ -259,6 +260,66 @@
 	}
 }
 
+// TestNewRelayIsConfirmed guards against a newcomer that knows only a few gates and, as
+// a relay, vouches for them as if they were all: another newcomer that knows the same
+// few would reset the flows of all others.
+func TestNewRelayIsConfirmed(t *testing.T) {
+	all := members()
+	few := slices.Concat(all[:balancersInDomain+10], all[balancersInDomain+gatesInDomain:])
+	// vouch returns what a relay of the first domain states that knows the peers and
+	// hears all of the domain, and has received the others' statements.
+	vouch := func(uptime time.Duration, known []pollenpeer.Peer, others ...pollenpeer.Vouch) pollenpeer.Vouch {
+		relay := largeTable(startTime, all[0], known)
+		relay.Self().Uptime = uptime
+		for i := range known[1:] {
+			if p := known[1+i]; p.Domain == all[0].Domain {
+				hear(relay, startTime, 2, true, p)
+			}
+		}
+		relay.MergeVouches(startTime, &pollenpeer.Heartbeat{Peer: all[1], Vouches: others})
+		r, ok := relay.NextRound(startTime)
+		if !ok || len(r.Own) != 1 {
+			t.Fatalf("the relay vouches for %d domains; want its own", len(r.Own))
+		}
+		return r.Own[0]
+	}
+	settled, same := vouch(time.Minute, all), vouch(time.Minute, few)
+	settled.Relay, same.Relay = all[1].Address, all[1].Address
+	for name, c := range map[string]struct {
+		vouch pollenpeer.Vouch
+		want  bool
+	}{
+		"just started":                {vouch(0, few), false},
+		"runs for long":               {vouch(time.Minute, few), true},
+		"just started, confirmed":     {vouch(0, few, same), true},
+		"runs for long, contradicted": {vouch(time.Minute, few, settled), false},
+	} {
+		if c.vouch.Complete != c.want {
+			t.Errorf("a relay that %s vouches for all gates: %t; want %t", name, c.vouch.Complete, c.want)
+		}
+	}
+}
+
+// TestSilentDomainCausesNoSnapshots guards against hundreds of processes that ask for a
+// snapshot every second while a failure domain is lost: nobody knows its gates better.
+func TestSilentDomainCausesNoSnapshots(t *testing.T) {
+	all := members()
+	tb := largeTable(startTime, member(1, 5, pollenpeer.RoleBalancer), all)
+	for i := range 5 {
+		now := startTime.Add(time.Duration(i) * pollenpeer.HeartbeatInterval)
+		receive(tb, now, vouchesOf(now, uint64(i+2), all, domains-1))
+		if tb.Complete(now) {
+			t.Fatalf("no gate counts as missing although no relay vouches for domain %s", domainName(domains-1))
+		}
+		if tb.NextHeartbeat(now).Incomplete {
+			t.Fatalf("a snapshot is asked for after %s without a relay of domain %s", now.Sub(startTime), domainName(domains-1))
+		}
+	}
+	if now := startTime.Add(4 * pollenpeer.HeartbeatInterval); !tb.Unsure(now) {
+		t.Fatal("the process does not know that gates may be missing")
+	}
+}
+
 // TestSnapshotIsRepeated guards against a relay that sends the snapshot only once,
 // though it may be lost, and against one that sends it with every heartbeat.
 func TestSnapshotIsRepeated(t *testing.T) {
--- a/pollenpeer/schedule.go
+++ b/pollenpeer/schedule.go
@@ -112,7 +112,7 @@
 	t.self.Sequence++
 	heartbeat := Heartbeat{
 		Peer: t.self, Relayed: t.relayed, Unheard: t.unheard(now),
-		Incomplete: !t.incompleteSince.IsZero() && now.Sub(t.incompleteSince) >= incompleteTimeout,
+		Incomplete: t.lacking(now),
 	}
 	if t.self.Role == RoleBalancer {
 		heartbeat.KnownBalancers = len(t.balancers)
--- a/pollenpeer/table.go
+++ b/pollenpeer/table.go
@@ -65,11 +65,15 @@
 	// silentRelays until when each relay that did not answer is not used.
 	reportedSince, silentRelays map[netip.AddrPort]time.Time
 	vouches                     map[vouchKey]heldVouch
+	// settled holds the domains of which this process is a relay and knew every gate
+	// once. It hears the others from then on.
+	settled map[pollendocument.DomainName]bool
 	// gone holds the peers that have expired, so that others which still pass them on
 	// are not believed.
 	gone map[netip.AddrPort]tombstone
-	// incompleteSince is since when gates are missing in this table; zero if none are.
-	incompleteSince time.Time
+	// unknownSince is since when gates may be missing in this table, and incompleteSince
+	// since when some are missing that a relay hears; zero if none are.
+	unknownSince, incompleteSince time.Time
 	// nextRound is when the next regular round is due. factOffset and
 	// candidateOffset are the positions of the last peers that were passed on in turn.
 	nextRound                   time.Time
@@ -87,7 +91,7 @@
 // these failure domains. The own address is ignored among the seeds.
 func NewTable(self Peer, domains []pollendocument.DomainName, seeds []netip.AddrPort) *Table {
 	t := &Table{
-		self: self, domains: domains, peers: map[netip.AddrPort]*Entry{}, candidates: map[netip.AddrPort]time.Time{},
+		self: self, domains: domains, settled: map[pollendocument.DomainName]bool{}, peers: map[netip.AddrPort]*Entry{}, candidates: map[netip.AddrPort]time.Time{},
 		nextDue: map[netip.AddrPort]time.Time{}, relays: map[pollendocument.DomainName][]netip.AddrPort{},
 		reportedSince: map[netip.AddrPort]time.Time{}, silentRelays: map[netip.AddrPort]time.Time{},
 		vouches: map[vouchKey]heldVouch{}, gone: map[netip.AddrPort]tombstone{},
--- a/pollenwire/peer.go
+++ b/pollenwire/peer.go
@@ -45,6 +45,7 @@
 		list(c, &v.Unheard, node)
 		list(c, &v.Gone, node)
 		unsigned(c, &v.Gates)
+		boolean(c, &v.Complete)
 	})
 }
 
--- a/pollenwire/wire_test.go
+++ b/pollenwire/wire_test.go
@@ -74,7 +74,7 @@
 		Leader: caller, Term: 3, LeaderAge: time.Second, BootstrapHost: caller, Balancers: []netip.AddrPort{caller},
 		KnownBalancers: 300, Relayed: true, Report: true, Incomplete: true, Unheard: []netip.AddrPort{caller},
 		Facts:   []pollenpeer.Fact{{Peer: gate, Age: time.Second, SeenAge: time.Millisecond}},
-		Vouches: []pollenpeer.Vouch{{Relay: caller, Domain: "b", Age: time.Second, Unheard: []netip.AddrPort{caller}, Gone: []netip.AddrPort{caller}, Gates: 1 << 63}},
+		Vouches: []pollenpeer.Vouch{{Relay: caller, Domain: "b", Age: time.Second, Unheard: []netip.AddrPort{caller}, Gone: []netip.AddrPort{caller}, Gates: 1 << 63, Complete: true}},
 	}, pollenwire.MapPeerHeartbeat)
 	roundTrip(t, &pollenlog.Message{
 		Kind: pollenlog.MessageAppend, From: 1, To: 2, Address: caller, Term: 3, Index: 4, LogTerm: 2, Round: 9, Forced: true,
