A balancer takes callers once it knows all gates

Cause: a newcomer to a large system was ready as soon as it knew any gate and no further one had arrived for 50 ms. Callers whose flows then reach it get no answer where it does not know the flow's gate, since it may not reset them.

It now waits until a relay vouches for what it knows, for 4 s at most, unless the whole system has restarted.

--- a/pollennode/balancer.go
+++ b/pollennode/balancer.go
@@ -35,8 +35,11 @@
 	// of at once.
 	discoveryTime = 2 * time.Second
 	// noGateTimeout is how long after its start a balancer reports that it is
-	// ready even if it knows no gate.
+	// ready even if it knows no gate, or new ones still arrive.
 	noGateTimeout = 2 * time.Second
+	// missingGateTimeout is how long after its start a balancer reports that it is
+	// ready even if it may lack gates whose flows callers send on.
+	missingGateTimeout = 4 * time.Second
 )
 
 // A Balancer is the program that receives callers' packets and passes each to a
@@ -61,8 +64,9 @@
 	// until the first seed has chosen it.
 	bootstrapHost netip.AddrPort
 	lastCallID    uint64
-	// unsure is set while this process has not known for long whether it lacks gates.
-	unsure bool
+	// gatesKnown is set once this process knows enough gates to serve callers, and
+	// unsure while it has not known for long whether it lacks some.
+	gatesKnown, unsure bool
 	// calls holds the channel for the answer to each open call, by the call's ID.
 	calls map[uint64]chan pollenlink.Answer
 	// searchBuffer holds the last packet of each flow whose holder is searched.
@@ -104,8 +108,7 @@
 }
 
 // Ready reports whether callers' packets should be sent to this balancer. It must
-// have a view, know the gates or have waited noGateTimeout for them, and not be
-// leaving or isolated.
+// have a view, have known the gates once, and not be leaving or isolated.
 func (b *Balancer) Ready(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -120,8 +123,19 @@
 	if isolated {
 		return false
 	}
-	gatesKnown := b.steer.GateCount() > 0 && now.Sub(b.lastNewGate) >= gateQuietPeriod
-	return gatesKnown || now.Sub(b.startTime) >= noGateTimeout
+	b.gatesKnown = b.gatesKnown || b.knowsGates(now)
+	return b.gatesKnown
+}
+
+// knowsGates reports whether this process knows enough gates to serve callers, or has
+// waited long enough for them. mu must be held.
+func (b *Balancer) knowsGates(now time.Time) bool {
+	age := now.Sub(b.startTime)
+	if b.steer.GateCount() == 0 {
+		return age >= noGateTimeout
+	}
+	quiet := now.Sub(b.lastNewGate) >= gateQuietPeriod || age >= noGateTimeout
+	return quiet && (b.restarted || b.table.Complete(now)) || age >= missingGateTimeout
 }
 
 // Leader returns the address of the leading control host, or an invalid one if none
