A paused process does not act on what it knew before the pause

Cause, by reading, after the list of what went wrong at similar systems: a balancer or relay that was paused for seconds (frozen, or starved of processor time) goes on with the gates and statements of before. Heartbeats of gates that started meanwhile are unread or were dropped from the full socket buffer, so a balancer could reset their flows, and a relay vouch for a list without them.

A balancer that has not checked its knowledge for 1.2 s knows the gates again 2 s later, as after its start; a relay that has not heard the greater part of its domain for 1.2 s has to be confirmed by another one again, or hear the domain for 2 s.

TestNoResetAfterPause and TestPausedRelayIsConfirmed fail without it.

--- a/pollenpeer/fact.go
+++ b/pollenpeer/fact.go
@@ -291,22 +291,42 @@
 		slices.SortFunc(v.Gone, netip.AddrPort.Compare)
 		v.Unheard, v.Gone = v.Unheard[:min(len(v.Unheard), maxUnheard)], v.Gone[:min(len(v.Gone), maxUnheard)]
 		v.Gates = t.gateSum(&v)
-		t.settled[domain] = t.settled[domain] || t.settles(now, domain)
-		v.Complete = t.settled[domain]
+		v.Complete = t.settles(now, domain)
 		own = append(own, v)
 	}
 	return own
 }
 
-// settleTime is the uptime after which a relay has heard every gate of its domain:
-// some of their heartbeats may be lost.
+// settleTime is the time after which a relay has heard every gate of its domain: some of
+// their heartbeats may be lost.
 const settleTime = 5 * HeartbeatInterval
 
+// A relayedDomain is the state of a failure domain at one of its relays.
+type relayedDomain struct {
+	// heardSince is since when the relay has heard the greater part of the domain, and
+	// heardAt when it last did. After FreshAge without, as in a pause, it begins anew.
+	heardSince, heardAt time.Time
+	// settled is set once the relay has known every gate. It hears further ones itself.
+	settled bool
+}
+
 // settles reports whether this process, a relay of the domain, knows every gate of it:
 // another relay that does vouches for exactly these, or there is no such relay and
-// this process has run for settleTime.
+// this process has heard the greater part for settleTime.
 func (t *Table) settles(now time.Time, domain pollendocument.DomainName) bool {
-	alone := true
+	d := t.serving[domain]
+	if now.Sub(d.heardAt) >= FreshAge {
+		d = relayedDomain{heardSince: now}
+	}
+	d.heardAt = now
+	d.settled = d.settled || t.confirmed(now, domain, now.Sub(d.heardSince) >= settleTime)
+	t.serving[domain] = d
+	return d.settled
+}
+
+// confirmed reports whether a relay that knows every gate of the domain vouches for
+// exactly those that are known here. Where there is no such relay it returns unopposed.
+func (t *Table) confirmed(now time.Time, domain pollendocument.DomainName, unopposed bool) bool {
 	for key, v := range t.vouches {
 		if key.domain != domain || !v.Complete || now.Sub(v.madeAt) >= RelayedFreshAge {
 			continue
@@ -314,9 +334,9 @@
 		if t.matches(&v.Vouch) {
 			return true
 		}
-		alone = false
+		unopposed = false
 	}
-	return alone && t.self.Uptime >= settleTime
+	return unopposed
 }
 
 // twoWay reports whether this process receives heartbeats from the peer and the
--- a/pollenpeer/relay.go
+++ b/pollenpeer/relay.go
@@ -86,7 +86,7 @@
 // updateRelays chooses the relays of every failure domain.
 func (t *Table) updateRelays(now time.Time) {
 	clear(t.relays)
-	defer maps.DeleteFunc(t.settled, func(domain pollendocument.DomainName, _ bool) bool {
+	defer maps.DeleteFunc(t.serving, func(domain pollendocument.DomainName, _ relayedDomain) bool {
 		return !slices.Contains(t.relays[domain], t.self.Address)
 	})
 	if !t.relayed {
--- a/pollenpeer/relay_test.go
+++ b/pollenpeer/relay_test.go
@@ -164,11 +164,14 @@
 	const size = balancersInDomain + gatesInDomain
 	for d := range count {
 		domain := all[d*size : (d+1)*size]
-		relay := largeTable(now, domain[0], all)
-		relay.Self().Uptime = time.Minute
-		relay.ReportTargets(now)
-		hear(relay, now, 2, true, domain[1:]...)
-		r, _ := relay.NextRound(now)
+		since := now.Add(-2 * time.Second)
+		relay := largeTable(since, domain[0], all)
+		r := pollenpeer.Round{}
+		for sequence, at := uint64(2), since; !at.After(now); sequence, at = sequence+1, at.Add(pollenpeer.HeartbeatInterval) {
+			relay.ReportTargets(at)
+			hear(relay, at, sequence, true, domain[1:]...)
+			r, _ = relay.NextRound(at)
+		}
 		h := pollenpeer.Heartbeat{Peer: domain[0], Relayed: true, Vouches: r.Own}
 		h.Peer.Sequence = sequence
 		heartbeats = append(heartbeats, h)
@@ -267,32 +270,33 @@
 	all := members()
 	few := slices.Concat(all[:balancersInDomain+10], all[balancersInDomain+gatesInDomain:])
 	// vouch returns what a relay of the first domain states that knows the peers and
-	// hears all of the domain, and has received the others' statements.
-	vouch := func(uptime time.Duration, known []pollenpeer.Peer, others ...pollenpeer.Vouch) pollenpeer.Vouch {
+	// has heard those of its domain for a time, and has received the others' statements.
+	vouch := func(heard time.Duration, known []pollenpeer.Peer, others ...pollenpeer.Vouch) pollenpeer.Vouch {
 		relay := largeTable(startTime, all[0], known)
-		relay.Self().Uptime = uptime
-		for i := range known[1:] {
-			if p := known[1+i]; p.Domain == all[0].Domain {
-				hear(relay, startTime, 2, true, p)
+		statement := pollenpeer.Vouch{}
+		for sequence, at := uint64(2), time.Duration(0); at <= heard; sequence, at = sequence+1, at+pollenpeer.HeartbeatInterval {
+			now := startTime.Add(at)
+			relay.ReportTargets(now)
+			hearDomain(relay, now, sequence, known[1:])
+			relay.MergeVouches(now, &pollenpeer.Heartbeat{Peer: all[1], Vouches: others})
+			r, ok := relay.NextRound(now)
+			if !ok || len(r.Own) != 1 {
+				t.Fatalf("the relay vouches for %d domains; want its own", len(r.Own))
 			}
+			statement = r.Own[0]
 		}
-		relay.MergeVouches(startTime, &pollenpeer.Heartbeat{Peer: all[1], Vouches: others})
-		r, ok := relay.NextRound(startTime)
-		if !ok || len(r.Own) != 1 {
-			t.Fatalf("the relay vouches for %d domains; want its own", len(r.Own))
-		}
-		return r.Own[0]
+		return statement
 	}
-	settled, same := vouch(time.Minute, all), vouch(time.Minute, few)
+	settled, same := vouch(2*time.Second, all), vouch(2*time.Second, few)
 	settled.Relay, same.Relay = all[1].Address, all[1].Address
 	for name, c := range map[string]struct {
 		vouch pollenpeer.Vouch
 		want  bool
 	}{
-		"just started":                {vouch(0, few), false},
-		"runs for long":               {vouch(time.Minute, few), true},
-		"just started, confirmed":     {vouch(0, few, same), true},
-		"runs for long, contradicted": {vouch(time.Minute, few, settled), false},
+		"just started":                 {vouch(0, few), false},
+		"hears for long":               {vouch(2*time.Second, few), true},
+		"just started, confirmed":      {vouch(0, few, same), true},
+		"hears for long, contradicted": {vouch(2*time.Second, few, settled), false},
 	} {
 		if c.vouch.Complete != c.want {
 			t.Errorf("a relay that %s vouches for all gates: %t; want %t", name, c.vouch.Complete, c.want)
@@ -300,6 +304,38 @@
 	}
 }
 
+// TestPausedRelayIsConfirmed guards against a relay that was paused, and vouches for all
+// gates as soon as it hears its domain again: it may have missed new ones.
+func TestPausedRelayIsConfirmed(t *testing.T) {
+	all := members()
+	relay := largeTable(startTime, all[0], all)
+	complete := func(at time.Duration, sequence uint64) bool {
+		now := startTime.Add(at)
+		relay.ReportTargets(now)
+		hearDomain(relay, now, sequence, all[1:])
+		r, ok := relay.NextRound(now)
+		return ok && len(r.Own) == 1 && r.Own[0].Complete
+	}
+	for i := range 6 {
+		if at := time.Duration(i) * pollenpeer.HeartbeatInterval; complete(at, uint64(i+2)) != (i == 5) {
+			t.Fatalf("vouches for all gates after %s: %t", at, i != 5)
+		}
+	}
+	resumed := 8 * time.Second
+	if complete(resumed+pollenpeer.HeartbeatInterval, 20) {
+		t.Fatal("vouches for all gates just after a pause")
+	}
+}
+
+// hearDomain lets the table receive a heartbeat of each peer of the first domain.
+func hearDomain(tb *pollenpeer.Table, now time.Time, sequence uint64, peers []pollenpeer.Peer) {
+	for i := range peers {
+		if peers[i].Domain == domainName(0) {
+			hear(tb, now, sequence, true, peers[i])
+		}
+	}
+}
+
 // TestSilentDomainCausesNoSnapshots guards against hundreds of processes that ask for a
 // snapshot every second while a failure domain is lost: nobody knows its gates better.
 func TestSilentDomainCausesNoSnapshots(t *testing.T) {
--- a/pollenpeer/table.go
+++ b/pollenpeer/table.go
@@ -65,9 +65,8 @@
 	// silentRelays until when each relay that did not answer is not used.
 	reportedSince, silentRelays map[netip.AddrPort]time.Time
 	vouches                     map[vouchKey]heldVouch
-	// settled holds the domains of which this process is a relay and knew every gate
-	// once. It hears the others from then on.
-	settled map[pollendocument.DomainName]bool
+	// serving holds the domains that this process is a relay of and has heard.
+	serving map[pollendocument.DomainName]relayedDomain
 	// gone holds the peers that have expired, so that others which still pass them on
 	// are not believed.
 	gone map[netip.AddrPort]tombstone
@@ -91,7 +90,7 @@
 // these failure domains. The own address is ignored among the seeds.
 func NewTable(self Peer, domains []pollendocument.DomainName, seeds []netip.AddrPort) *Table {
 	t := &Table{
-		self: self, domains: domains, settled: map[pollendocument.DomainName]bool{}, peers: map[netip.AddrPort]*Entry{}, candidates: map[netip.AddrPort]time.Time{},
+		self: self, domains: domains, serving: map[pollendocument.DomainName]relayedDomain{}, peers: map[netip.AddrPort]*Entry{}, candidates: map[netip.AddrPort]time.Time{},
 		nextDue: map[netip.AddrPort]time.Time{}, relays: map[pollendocument.DomainName][]netip.AddrPort{},
 		reportedSince: map[netip.AddrPort]time.Time{}, silentRelays: map[netip.AddrPort]time.Time{},
 		vouches: map[vouchKey]heldVouch{}, gone: map[netip.AddrPort]tombstone{},
--- a/pollensteer/balancer.go
+++ b/pollensteer/balancer.go
@@ -114,6 +114,9 @@
 	// and gatesComplete is set while no gate can be missing for want of a relay.
 	freshAge      time.Duration
 	gatesComplete bool
+	// checkedAt is when SetRelayed was last called, and steadySince since when that has
+	// been the case without a pause; zero before the first call.
+	checkedAt, steadySince time.Time
 	// systemRestarted is set while every known peer has just started.
 	systemRestarted bool
 	budget          budget
@@ -261,9 +264,21 @@
 func (b *Balancer) HasGate(address netip.AddrPort) bool { return b.gates[address] != nil }
 
 // SetRelayed sets the age up to which a gate's last sign of life counts as current,
-// and whether no gate can be missing.
-func (b *Balancer) SetRelayed(freshAge time.Duration, complete bool) {
-	b.freshAge, b.gatesComplete = freshAge, complete
+// and whether no gate can be missing. It is called several times a second. After a pause
+// of the process, the gates count as unknown for as long as after its start.
+func (b *Balancer) SetRelayed(now time.Time, freshAge time.Duration, complete bool) {
+	if b.paused(now) {
+		b.steadySince = now
+	}
+	b.checkedAt, b.freshAge, b.gatesComplete = now, freshAge, complete
+}
+
+// pauseTimeout is the time without a call of SetRelayed that counts as a pause: heartbeats
+// of new gates may have been lost meanwhile, or not been read yet.
+const pauseTimeout = pollenpeer.FreshAge
+
+func (b *Balancer) paused(now time.Time) bool {
+	return !b.checkedAt.IsZero() && now.Sub(b.checkedAt) >= pauseTimeout
 }
 
 // RemoveGate removes a gate. An unknown address is ignored.
--- a/pollensteer/balancer_test.go
+++ b/pollensteer/balancer_test.go
@@ -185,6 +185,29 @@
 	wantDecision(t, notFoundAtAllGates(b, startTime.Add(299*time.Millisecond), packet(1)), pollensteer.VerdictDrop, pollenkernel.RefusalUnknownFlow)
 }
 
+// TestNoResetAfterPause guards against a balancer that was paused for seconds and resets
+// the flows of gates that started meanwhile, whose heartbeats it has not read yet.
+func TestNoResetAfterPause(t *testing.T) {
+	b := startupBalancer()
+	now := startTime
+	tick := func(d time.Duration) {
+		now = now.Add(d)
+		b.SetRelayed(now, pollenpeer.FreshAge, true)
+	}
+	for range 30 {
+		tick(100 * time.Millisecond)
+	}
+	wantDecision(t, notFoundAtAllGates(b, now, packet(1)), pollensteer.VerdictReset, pollenkernel.RefusalUnknownFlow)
+	now = now.Add(5 * time.Second)
+	wantDecision(t, notFoundAtAllGates(b, now, packet(2)), pollensteer.VerdictDrop, pollenkernel.RefusalUnknownFlow)
+	tick(0)
+	wantDecision(t, notFoundAtAllGates(b, now, packet(3)), pollensteer.VerdictDrop, pollenkernel.RefusalUnknownFlow)
+	for range 20 {
+		tick(100 * time.Millisecond)
+	}
+	wantDecision(t, notFoundAtAllGates(b, now, packet(4)), pollensteer.VerdictReset, pollenkernel.RefusalUnknownFlow)
+}
+
 // TestNoResetBeforeAllGatesAreKnown guards against resetting a flow whose holder
 // is not known yet: all known gates report that they do not hold it while the
 // balancer cannot know yet whether there are others.
--- a/pollensteer/search.go
+++ b/pollensteer/search.go
@@ -129,6 +129,9 @@
 
 // knowsAllGates reports whether every gate that may hold a flow is known.
 func (b *Balancer) knowsAllGates(now time.Time) bool {
+	if b.paused(now) || now.Sub(b.steadySince) < allGatesKnownAfter {
+		return false
+	}
 	age := now.Sub(b.config.StartTime)
 	return (age >= allGatesKnownAfter && b.gatesComplete) || (b.systemRestarted && age >= restartKnownAfter)
 }
