A failure domain that has had no peer for half a minute has no gates

A domain now counts as empty if no peer of it, gate or balancer, is known or has expired in the last 20 s, and the process has run for 30 s. A domain of which only balancers are known is not empty.

TestUnknownDomainIsNoticed fails without it.

--- a/pollenpeer/fact.go
+++ b/pollenpeer/fact.go
@@ -35,7 +35,7 @@
 	// Gates is the sum of the hashes of the gates that the relay hears, by which a
 	// receiver finds out whether it knows all of them.
 	Gates uint64
-	// Complete is set if these and those in Unheard are all gates of the domain.
+	// Complete is set if these and the gates in Unheard are all gates of the domain.
 	Complete bool
 }
 
@@ -195,22 +195,24 @@
 	return false
 }
 
+// absentTimeout is the uptime after which a failure domain has no peers if none is known
+// or has expired lately.
+const absentTimeout = PeerTimeout + goneTimeout
+
 // UnknownDomains returns the failure domains in which gates may be missing in this table
 // while heartbeats are relayed, sorted.
 func (t *Table) UnknownDomains(now time.Time) []pollendocument.DomainName {
 	pending := map[pollendocument.DomainName]bool{}
-	for _, domain := range t.domains {
-		pending[domain] = true
+	if t.self.Uptime < absentTimeout {
+		for _, domain := range t.domains {
+			pending[domain] = true
+		}
 	}
 	for _, e := range t.peers {
-		if e.Peer.Role == RoleGate {
-			pending[e.Peer.Domain] = true
-		}
+		pending[e.Peer.Domain] = true
 	}
 	for _, g := range t.gone {
-		if g.role == RoleGate {
-			pending[g.domain] = true
-		}
+		pending[g.domain] = true
 	}
 	for key, v := range t.vouches {
 		if pending[key.domain] && now.Sub(v.madeAt) < RelayedFreshAge && v.Complete && t.matches(&v.Vouch) {
--- a/pollenpeer/relay_test.go
+++ b/pollenpeer/relay_test.go
@@ -243,6 +243,14 @@
 	if tb.Complete(startTime) {
 		t.Fatalf("no gate counts as missing although no peer of domain %s is known", domainName(domains-1))
 	}
+	tb.Self().Uptime = time.Minute
+	if !tb.Complete(startTime) {
+		t.Fatalf("gates count as missing although domain %s has had no peer for a minute", domainName(domains-1))
+	}
+	tb.MergeFacts(startTime, factsOf(all[len(all)-size:len(all)-gatesInDomain]))
+	if tb.Complete(startTime) {
+		t.Fatalf("no gate counts as missing although only balancers of domain %s are known", domainName(domains-1))
+	}
 }
 
 // TestNewcomerGoesByThoseWhoKnowMore guards against a balancer that takes a large system
--- a/pollenpeer/table.go
+++ b/pollenpeer/table.go
@@ -81,7 +81,6 @@
 
 // A tombstone is what is kept of a peer that has expired.
 type tombstone struct {
-	role            Role
 	domain          pollendocument.DomainName
 	lastSeen, until time.Time
 }
@@ -90,7 +89,8 @@
 // these failure domains. The own address is ignored among the seeds.
 func NewTable(self Peer, domains []pollendocument.DomainName, seeds []netip.AddrPort) *Table {
 	t := &Table{
-		self: self, domains: domains, serving: map[pollendocument.DomainName]relayedDomain{}, peers: map[netip.AddrPort]*Entry{}, candidates: map[netip.AddrPort]time.Time{},
+		self: self, domains: domains, peers: map[netip.AddrPort]*Entry{}, candidates: map[netip.AddrPort]time.Time{},
+		serving: map[pollendocument.DomainName]relayedDomain{},
 		nextDue: map[netip.AddrPort]time.Time{}, relays: map[pollendocument.DomainName][]netip.AddrPort{},
 		reportedSince: map[netip.AddrPort]time.Time{}, silentRelays: map[netip.AddrPort]time.Time{},
 		vouches: map[vouchKey]heldVouch{}, gone: map[netip.AddrPort]tombstone{},
@@ -222,7 +222,7 @@
 		if t.hasExpired(now, e) {
 			delete(t.peers, a)
 			delete(t.nextDue, a)
-			t.gone[a] = tombstone{role: e.Peer.Role, domain: e.Peer.Domain, lastSeen: e.LastSeen, until: now.Add(goneTimeout)}
+			t.gone[a] = tombstone{domain: e.Peer.Domain, lastSeen: e.LastSeen, until: now.Add(goneTimeout)}
 			expired = append(expired, e.Peer)
 		}
 	}
