--- a/pollenemulator/event.go
+++ b/pollenemulator/event.go
@@ -33,9 +33,9 @@
 			}
 		})
 	default:
-		w.repeat(e, func(int) {
+		w.repeat(e, func(i int) {
 			if h := w.randomHost(e); h != nil {
-				w.runHostEvent(h, e)
+				w.runHostEvent(h, e, i)
 			}
 		})
 	}
@@ -48,13 +48,17 @@
 	}
 }
 
-// runHostEvent executes an event that affects the program or the disk of one host.
-func (w *world) runHostEvent(h *host, e Event) {
+// runHostEvent executes an event that affects the program or the disk of one host. number
+// is the index of the repetition.
+func (w *world) runHostEvent(h *host, e Event, number int) {
 	switch e.Kind {
 	case EventStop:
 		h.stop()
 	case EventKill:
 		h.kill(max(restartDelay, e.For))
+	case EventMiss:
+		h.missed = number + 1
+		h.kill(max(restartDelay, e.For))
 	case EventFreeze:
 		h.frozenUntil = w.now.Add(e.For)
 	case EventIsolate:
--- a/pollenemulator/host.go
+++ b/pollenemulator/host.go
@@ -35,6 +35,9 @@
 	// chokedUntil is the time before which messages of several datagrams do not reach
 	// the host.
 	chokedUntil time.Time
+	// exchanged counts the datagrams to and from other hosts since the last start, of
+	// which the one numbered missed is lost; zero means none.
+	exchanged, missed int
 	// cuts counts the partitions of this host that are in effect.
 	cuts cuts
 	// sentBytes is what the host has sent to other nodes.
@@ -72,7 +75,7 @@
 // balancer. firstStart is set for hosts that are present when the run begins.
 func (h *host) start(firstStart bool) {
 	h.incarnation++
-	h.down = false
+	h.down, h.exchanged = false, 0
 	s := pollennode.Settings{
 		Name: h.node.String(), Domain: h.domain, Domains: h.w.plan.Domains, Node: h.node, Seeds: h.w.seeds, FirstStart: firstStart, CallerPort: callerPort,
 		Callers: netip.AddrPortFrom(h.node.Addr(), callerPort), Format: pollenpacket.Plain{},
@@ -121,6 +124,12 @@
 	h.w.after(time.Duration(h.w.random.Int64N(int64(interval))), next)
 }
 
+// misses counts a datagram to or from another host and reports whether it is lost.
+func (h *host) misses() bool {
+	h.exchanged++
+	return h.exchanged == h.missed
+}
+
 func (h *host) frozen() bool { return h.w.now.Before(h.frozenUntil) }
 
 // runWhenThawed calls run now, or at the end of the freeze if the host is frozen. It
--- a/pollenemulator/plan.go
+++ b/pollenemulator/plan.go
@@ -96,6 +96,9 @@
 	// starts again after 150 ms, or after Event.For if it is killed and that is longer.
 	EventStop EventKind = "stop"
 	EventKill EventKind = "kill"
+	// EventMiss is EventKill of a host that, in repetition n, loses the n-th datagram that
+	// it sends to another host or receives from one after its next start.
+	EventMiss EventKind = "miss"
 	// EventFreeze pauses a host for Event.For; what arrives is handled afterwards.
 	EventFreeze EventKind = "freeze"
 	// EventLoseDisk kills a balancer, which starts again with an empty disk. It has no
@@ -130,8 +133,8 @@
 // EventKinds returns all kinds of events.
 func EventKinds() []EventKind {
 	return []EventKind{
-		EventStop, EventKill, EventFreeze, EventLoseDisk, EventDiskFull, EventPowerOff, EventPartition, EventIsolate, EventReplaceServer,
-		EventCrash, EventEvacuate, EventDeclare, EventAddBalancers,
+		EventStop, EventKill, EventMiss, EventFreeze, EventLoseDisk, EventDiskFull, EventPowerOff, EventPartition, EventIsolate,
+		EventReplaceServer, EventCrash, EventEvacuate, EventDeclare, EventAddBalancers,
 	}
 }
 
--- a/pollenemulator/world.go
+++ b/pollenemulator/world.go
@@ -223,6 +223,10 @@
 	from.sentBytes += size + datagramOverhead
 	h, known := w.nodes[to]
 	d, ok := w.delay(from.domain, w.domainOf(to))
+	if known {
+		lostHere, lostThere := from.misses(), h.misses()
+		ok = ok && !lostHere && !lostThere
+	}
 	if !known || !ok || from.cuts.out > 0 || h.cuts.in > 0 || size > maxDatagram && w.now.Before(h.chokedUntil) {
 		return
 	}
