--- a/pollensteer/balancer.go
+++ b/pollensteer/balancer.go
@@ -263,24 +263,6 @@
 // HasGate reports whether the gate at the address is known.
 func (b *Balancer) HasGate(address netip.AddrPort) bool { return b.gates[address] != nil }
 
-// SetRelayed sets the age up to which a gate's last sign of life counts as current,
-// and whether no gate can be missing. It is called several times a second. After a pause
-// of the process, the gates count as unknown for as long as after its start.
-func (b *Balancer) SetRelayed(now time.Time, freshAge time.Duration, complete bool) {
-	if b.paused(now) {
-		b.steadySince = now
-	}
-	b.checkedAt, b.freshAge, b.gatesComplete = now, freshAge, complete
-}
-
-// pauseTimeout is the time without a call of SetRelayed that counts as a pause: heartbeats
-// of new gates may have been lost meanwhile, or not been read yet.
-const pauseTimeout = pollenpeer.FreshAge
-
-func (b *Balancer) paused(now time.Time) bool {
-	return !b.checkedAt.IsZero() && now.Sub(b.checkedAt) >= pauseTimeout
-}
-
 // RemoveGate removes a gate. An unknown address is ignored.
 func (b *Balancer) RemoveGate(a netip.AddrPort) {
 	g := b.gates[a]
--- a/pollensteer/search.go
+++ b/pollensteer/search.go
@@ -127,6 +127,24 @@
 // early after a power loss, when callers continue to send on them.
 func (b *Balancer) SetSystemRestarted(restarted bool) { b.systemRestarted = restarted }
 
+// SetRelayed sets the age up to which a gate's last sign of life counts as current,
+// and whether no gate can be missing. It is called several times a second. After a pause
+// of the process, the gates count as unknown for as long as after its start.
+func (b *Balancer) SetRelayed(now time.Time, freshAge time.Duration, complete bool) {
+	if b.paused(now) {
+		b.steadySince = now
+	}
+	b.checkedAt, b.freshAge, b.gatesComplete = now, freshAge, complete
+}
+
+// pauseTimeout is the time without a call of SetRelayed that counts as a pause: heartbeats
+// of new gates may have been lost meanwhile, or not been read yet.
+const pauseTimeout = pollenpeer.FreshAge
+
+func (b *Balancer) paused(now time.Time) bool {
+	return !b.checkedAt.IsZero() && now.Sub(b.checkedAt) >= pauseTimeout
+}
+
 // knowsAllGates reports whether every gate that may hold a flow is known.
 func (b *Balancer) knowsAllGates(now time.Time) bool {
 	if b.paused(now) || now.Sub(b.steadySince) < allGatesKnownAfter {
