One test for fresh statements, one for conditions that last, one time to settle

The change wrote the age of a statement five times, the check of the two timers twice, and five heartbeat intervals as the time after which all are heard beside the same constant of pollensteer. SetRelayed no longer said what it sets. No change of behaviour; tests keep their assertions.

--- a/pollennode/tick.go
+++ b/pollennode/tick.go
@@ -45,7 +45,7 @@
 // updateComplete detects whether this process may lack gates, so that it must not reset
 // a flow that no known gate holds. mu must be held.
 func (b *Balancer) updateComplete(now time.Time) {
-	b.steer.SetRelayed(now, b.table.FreshAge(), b.table.Complete(now))
+	b.steer.SetGateKnowledge(now, b.table.FreshAge(), b.table.Complete(now))
 	if unsure := b.table.Unsure(now); unsure != b.unsure {
 		b.unsure = unsure
 		b.log.Info("knowledge of gates changed", pollenrecord.Fields{
--- a/pollenpeer/complete.go
+++ b/pollenpeer/complete.go
@@ -41,7 +41,7 @@
 		pending[g.domain] = true
 	}
 	for key, v := range t.vouches {
-		if pending[key.domain] && now.Sub(v.madeAt) < RelayedFreshAge && v.Complete && t.matches(&v.Vouch) {
+		if pending[key.domain] && v.fresh(now) && v.Complete && t.matches(&v.Vouch) {
 			delete(pending, key.domain)
 		}
 	}
@@ -71,7 +71,7 @@
 // than are known here.
 func (t *Table) contradicted(now time.Time, domains []pollendocument.DomainName) bool {
 	for key, v := range t.vouches {
-		if slices.Contains(domains, key.domain) && now.Sub(v.madeAt) < RelayedFreshAge && !t.matches(&v.Vouch) {
+		if slices.Contains(domains, key.domain) && v.fresh(now) && !t.matches(&v.Vouch) {
 			return true
 		}
 	}
@@ -92,12 +92,14 @@
 
 // Unsure reports whether this process has not known for long, when Complete was last
 // called, whether gates are missing.
-func (t *Table) Unsure(now time.Time) bool {
-	return !t.unknownSince.IsZero() && now.Sub(t.unknownSince) >= incompleteTimeout
-}
+func (t *Table) Unsure(now time.Time) bool { return lasts(now, t.unknownSince) }
 
 // lacking reports whether gates that a relay hears have been missing for so long that
 // they do not arrive by themselves.
-func (t *Table) lacking(now time.Time) bool {
-	return !t.incompleteSince.IsZero() && now.Sub(t.incompleteSince) >= incompleteTimeout
+func (t *Table) lacking(now time.Time) bool { return lasts(now, t.incompleteSince) }
+
+// lasts reports whether a condition that holds since a time, see since, has held for
+// incompleteTimeout.
+func lasts(now, since time.Time) bool {
+	return !since.IsZero() && now.Sub(since) >= incompleteTimeout
 }
--- a/pollenpeer/vouch.go
+++ b/pollenpeer/vouch.go
@@ -37,6 +37,9 @@
 	madeAt time.Time
 }
 
+// fresh reports whether the statement still counts.
+func (v *heldVouch) fresh(now time.Time) bool { return now.Sub(v.madeAt) < RelayedFreshAge }
+
 // MergeVouches records the statements of relays in a heartbeat. Peers that a relay
 // vouches for count as seen when it did. A relay of another failure domain that
 // receives nothing from this process is ignored: packets to its domain are lost.
@@ -83,7 +86,7 @@
 	removed := false
 	for key, v := range t.vouches {
 		switch {
-		case key.domain != e.Peer.Domain || now.Sub(v.madeAt) >= RelayedFreshAge:
+		case key.domain != e.Peer.Domain || !v.fresh(now):
 		case slices.Contains(v.Unheard, e.Peer.Address):
 			return false
 		case slices.Contains(v.Gone, e.Peer.Address):
@@ -97,9 +100,9 @@
 func (t *Table) heldVouches(now time.Time) []Vouch {
 	all := t.ownVouches(now)
 	for _, v := range t.vouches {
-		if age := now.Sub(v.madeAt); age < RelayedFreshAge {
+		if v.fresh(now) {
 			passed := v.Vouch
-			passed.Age = age
+			passed.Age = now.Sub(v.madeAt)
 			all = append(all, passed)
 		}
 	}
@@ -155,9 +158,9 @@
 	return now.Sub(e.HeardAt) < FreshAge && !e.MissesSelf
 }
 
-// settleTime is the time after which a relay has heard every gate of its domain: some of
-// their heartbeats may be lost.
-const settleTime = 5 * HeartbeatInterval
+// SettleTime is the time after which a process has heard everyone who sends it
+// heartbeats: some of these may be lost.
+const SettleTime = 5 * HeartbeatInterval
 
 // A relayedDomain is the state of a failure domain at one of its relays.
 type relayedDomain struct {
@@ -170,14 +173,14 @@
 
 // settles reports whether this process, a relay of the domain, knows every gate of it:
 // another relay that does vouches for exactly these, or there is no such relay and
-// this process has heard the greater part for settleTime.
+// this process has heard the greater part for SettleTime.
 func (t *Table) settles(now time.Time, domain pollendocument.DomainName) bool {
 	d := t.serving[domain]
 	if now.Sub(d.heardAt) >= FreshAge {
 		d = relayedDomain{heardSince: now}
 	}
 	d.heardAt = now
-	d.settled = d.settled || t.confirmed(now, domain, now.Sub(d.heardSince) >= settleTime)
+	d.settled = d.settled || t.confirmed(now, domain, now.Sub(d.heardSince) >= SettleTime)
 	t.serving[domain] = d
 	return d.settled
 }
@@ -186,7 +189,7 @@
 // exactly those that are known here. Where there is no such relay it returns unopposed.
 func (t *Table) confirmed(now time.Time, domain pollendocument.DomainName, unopposed bool) bool {
 	for key, v := range t.vouches {
-		if key.domain != domain || !v.Complete || now.Sub(v.madeAt) >= RelayedFreshAge {
+		if key.domain != domain || !v.Complete || !v.fresh(now) {
 			continue
 		}
 		if t.matches(&v.Vouch) {
--- a/pollensteer/balancer.go
+++ b/pollensteer/balancer.go
@@ -114,7 +114,7 @@
 	// and gatesComplete is set while no gate can be missing for want of a relay.
 	freshAge      time.Duration
 	gatesComplete bool
-	// checkedAt is when SetRelayed was last called, and steadySince since when that has
+	// checkedAt is when SetGateKnowledge was last called, and steadySince since when that has
 	// been the case without a pause; zero before the first call.
 	checkedAt, steadySince time.Time
 	// systemRestarted is set while every known peer has just started.
--- a/pollensteer/balancer_test.go
+++ b/pollensteer/balancer_test.go
@@ -192,7 +192,7 @@
 	now := startTime
 	tick := func(d time.Duration) {
 		now = now.Add(d)
-		b.SetRelayed(now, pollenpeer.FreshAge, true)
+		b.SetGateKnowledge(now, pollenpeer.FreshAge, true)
 	}
 	for range 30 {
 		tick(100 * time.Millisecond)
--- a/pollensteer/search.go
+++ b/pollensteer/search.go
@@ -112,9 +112,9 @@
 	}
 }
 
-// allGatesKnownAfter is the uptime after which a balancer knows every live gate.
-// Gates send heartbeats to every balancer, and some of these may be lost.
-const allGatesKnownAfter = 5 * pollenpeer.HeartbeatInterval
+// allGatesKnownAfter is the uptime after which a balancer knows every live gate, if none
+// can be missing for want of a relay.
+const allGatesKnownAfter = pollenpeer.SettleTime
 
 // restartKnownAfter is the uptime after which a balancer knows whether the
 // whole system has just started: peers that did not restart answer its first
@@ -127,17 +127,17 @@
 // early after a power loss, when callers continue to send on them.
 func (b *Balancer) SetSystemRestarted(restarted bool) { b.systemRestarted = restarted }
 
-// SetRelayed sets the age up to which a gate's last sign of life counts as current,
+// SetGateKnowledge sets the age up to which a gate's last sign of life counts as current,
 // and whether no gate can be missing. It is called several times a second. After a pause
 // of the process, the gates count as unknown for as long as after its start.
-func (b *Balancer) SetRelayed(now time.Time, freshAge time.Duration, complete bool) {
+func (b *Balancer) SetGateKnowledge(now time.Time, freshAge time.Duration, complete bool) {
 	if b.paused(now) {
 		b.steadySince = now
 	}
 	b.checkedAt, b.freshAge, b.gatesComplete = now, freshAge, complete
 }
 
-// pauseTimeout is the time without a call of SetRelayed that counts as a pause: heartbeats
+// pauseTimeout is the time without a call of SetGateKnowledge that counts as a pause: heartbeats
 // of new gates may have been lost meanwhile, or not been read yet.
 const pauseTimeout = pollenpeer.FreshAge
 
