--- /dev/null
+++ b/review/standin/signal.go
@@ -0,0 +1,8 @@
+package main
+
+import "syscall"
+
+const (
+	stopSignal     = syscall.SIGSTOP
+	continueSignal = syscall.SIGCONT
+)
--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -19,7 +19,7 @@
 // Ports of the machines, the same on all of them. pickPorts sets them.
 var (
 	callerPort, outboundPort, readyPort, controlPort, serverPort, metricsUnused uint16
-	nodePorts                                                                  [2]uint16
+	nodePorts                                                                   [2]uint16
 )
 
 // Values of the settings, as on the site golob-lb.
