--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Opens flows while the machine of one of two targets is frozen, and evacuates the zone of
-# the other target before it wakes. TROUBLE=0 freezes nothing.
+# Evacuates a zone, takes that back and evacuates it again while one edge is frozen that
+# was sent the middle one of these orders. TROUBLE=0 freezes nothing.
 set -euo pipefail
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.."
-exec target/review/standin delayed "$folder"
+exec target/review/standin evacuation "$folder"
--- a/review/standin/core.go
+++ b/review/standin/core.go
@@ -65,7 +65,7 @@
 			if err := s.start(successor, false); err != nil {
 				return false, err
 			}
-			s.record.printf("platform  %s (%s) starts empty in its place", successor.name, successor.ip)
+			s.record.printf("platform  %s (%s) has started empty in its place", successor.name, successor.ip)
 			time.Sleep(betweenLosses)
 		}
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,7 +19,7 @@
 )
 
 var cases = map[string]func(s *system, trouble bool) (broken bool, err error){
-	"core": coreReplaced, "evacuation": evacuationWithdrawn, "delayed": delayedOpening,
+	"core": coreReplaced, "evacuation": evacuationWithdrawn, "delayed": delayedOpening, "restarts": plannedRestarts,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin/signal.go
+++ b/review/standin/signal.go
@@ -3,6 +3,7 @@
 import "syscall"
 
 const (
-	stopSignal     = syscall.SIGSTOP
-	continueSignal = syscall.SIGCONT
+	stopSignal      = syscall.SIGSTOP
+	continueSignal  = syscall.SIGCONT
+	terminateSignal = syscall.SIGTERM
 )
--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -18,23 +18,22 @@
 
 // Ports of the machines, the same on all of them. pickPorts sets them.
 var (
-	callerPort, outboundPort, readyPort, controlPort, serverPort, metricsUnused uint16
-	nodePorts                                                                   [2]uint16
+	callerPort, outboundPort, readyPort, controlPort, serverPort uint16
+	nodePorts                                                    [2]uint16
 )
 
 // Values of the settings, as on the site golob-lb.
 const (
-	contactMs      = 4000
-	ackMs          = 5000
-	catchupS       = 4
-	configApplyMs  = 3000
-	evacuateMs     = 5000
-	drainMs        = 3000
-	heartbeatMs    = 1200
-	idleTimeoutMs  = 15000
-	operatorWait   = time.Second
-	graceS         = 6
-	firstMachineIP = 10
+	contactMs     = 4000
+	ackMs         = 5000
+	catchupS      = 4
+	configApplyMs = 3000
+	evacuateMs    = 5000
+	drainMs       = 3000
+	heartbeatMs   = 1200
+	idleTimeoutMs = 15000
+	operatorWait  = time.Second
+	graceS        = 6
 )
 
 // A machine runs one process of the system.
@@ -176,6 +175,7 @@
 	if err := m.cmd.Start(); err != nil {
 		return err
 	}
+	s.record.printf("platform  %s starts", m.name)
 	m.exited = make(chan struct{})
 	go func(cmd *exec.Cmd, exited chan struct{}) {
 		_ = cmd.Wait()
@@ -218,7 +218,7 @@
 type operator struct {
 	system *system
 	client *http.Client
-	// avoid holds machines that the operator's list does not contain any more.
+	// gone holds the machines that the operator's list does not contain any more.
 	gone map[*machine]bool
 	next int
 }
