--- a/review/standin/core.go
+++ b/review/standin/core.go
@@ -37,7 +37,7 @@
 		}
 	}
 	o := newOperator(s)
-	routes := map[string]netip.AddrPort{"service-a": netip.MustParseAddrPort("198.18.0.1:443")}
+	routes := map[string]netip.AddrPort{"service-a": s.serviceAddress()}
 	if _, ok := o.send(nil, http.MethodPut, "/pollenstep/config", document(3, routes, 0), 20*time.Second); !ok {
 		return false, errors.New("the first desired state was not acknowledged")
 	}
--- a/review/standin/evacuation.go
+++ b/review/standin/evacuation.go
@@ -58,7 +58,7 @@
 		}
 		defer t.stop()
 	}
-	service := netip.MustParseAddrPort("198.18.0.1:443")
+	service := s.serviceAddress()
 	o := newOperator(s)
 	if _, ok := o.send(nil, http.MethodPut, "/pollenstep/config", document(3, map[string]netip.AddrPort{"service-a": service}, 0), 20*time.Second); !ok {
 		return false, errors.New("the desired state was not acknowledged")
--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -311,3 +311,9 @@
 	}
 	return false
 }
+
+// serviceAddress returns the address of the route, which no process binds.
+func (s *system) serviceAddress() netip.AddrPort {
+	const block, port = 250, 443
+	return netip.AddrPortFrom(s.address(block, 1), port)
+}
