A learner takes the place of a silent voter

Cause: a learner got its vote as soon as it had caught up, while the lost replica kept its own until it had been silent for 8 s, counted anew by each leader. Each replacement thus left one more voter that never answers; the next loss took the majority. In the same way a full membership kept a second successor out.

Why it works: the voter that is silent for 1 s is removed first, which never makes the majority harder to reach, and then the learner gets its vote. While a voter has just stopped to answer, the learner waits. The decision is a function of the membership, the contacts and the candidates (roster). Each change of the membership is logged by the leader with its reason.

--- a/pollencontrol/autorepair.go
+++ b/pollencontrol/autorepair.go
@@ -6,28 +6,13 @@
 	"pollenstep.example/pollenstep/pollenlog"
 )
 
-// Limits for automatic repair by the leader.
-const (
-	// replaceAfter is how long a replica must be silent before an empty one at
-	// its address may replace it. A replica whose disk is lost can no longer
-	// answer, and any message of it that is still in flight is then older than
-	// this.
-	replaceAfter = time.Second
-	// removeAfter is how long a replica must be silent before it is removed,
-	// so that it no longer counts for the majority. It exceeds the longest
-	// freeze of a process in the traces.
-	removeAfter = 8 * time.Second
-	// repairTimeout is how long a repair may take before it is abandoned and
-	// started again, since the empty replica may be lost as well.
-	repairTimeout = 10 * time.Second
-	// minVoters is the number of voters that a removal must leave, so that a
-	// majority survives one more loss.
-	minVoters = 3
-)
+// repairTimeout is how long a repair may take before it is abandoned and started
+// again, since the empty replica may be lost as well.
+const repairTimeout = 10 * time.Second
 
 // replaceLost does the repairs that are otherwise requested by an operator: an
-// empty replica at the address of a silent one takes its place, and a replica
-// that stays silent is removed when enough voters remain.
+// empty replica at the address of a silent one takes its place. While there is no
+// such repair, the other changes of the membership are made that are due.
 func (n *Node) replaceLost() {
 	s := n.log.Status()
 	if n.repair != nil && (n.now.Sub(n.repair.startTime) >= repairTimeout || n.replacementLost(s)) {
@@ -39,18 +24,15 @@
 	if n.repair != nil {
 		return
 	}
-	live := 0
-	var silent pollenlog.ReplicaID
-	for _, r := range s.Membership.Replicas {
-		switch {
-		case r.ID != s.ID && n.now.Sub(s.LastContact[r.ID]) >= removeAfter:
-			silent = r.ID
-		case r.Voter:
-			live++
-		}
+	n.expireCandidates()
+	r := roster{
+		now: n.now, status: s, electedAt: n.leaderSince, contactWindow: n.config.Log.ElectionTimeout, limit: n.config.Replicas,
+	}
+	for _, id := range n.candidateIDs() {
+		r.candidates = append(r.candidates, pollenlog.Replica{ID: id, Address: n.candidates[id].address})
 	}
-	if silent != 0 && live >= minVoters {
-		n.changeMembership(pollenlog.ChangeMembership{Remove: silent})
+	if change, reason, due := r.next(); due {
+		n.changeMembership(change, reason)
 	}
 }
 
--- a/pollencontrol/cluster_test.go
+++ b/pollencontrol/cluster_test.go
@@ -21,6 +21,8 @@
 	lease    = 2 * time.Second
 	// compactBytes is in bytes.
 	compactBytes = 1 << 20
+	// joinDelay is the time without a leader after which a host asks to join.
+	joinDelay = 1500 * time.Millisecond
 )
 
 // host is a control host with the contents of its disk.
@@ -57,7 +59,9 @@
 	lossPercent int
 	// autoRepair sets Config.AutoRepair of hosts that start from now on.
 	autoRepair bool
-	notices    int
+	// maxReplicas is Config.Replicas of hosts that start from now on.
+	maxReplicas int
+	notices     int
 }
 
 // message is one message between two addresses.
@@ -79,7 +83,9 @@
 }
 
 func newCluster(t *rapid.T, size int) *cluster {
-	c := &cluster{t: t, size: size, now: time.Unix(1_000_000, 0), answers: map[pollencontrol.Token]pollencontrol.Answer{}}
+	c := &cluster{
+		t: t, size: size, maxReplicas: size, now: time.Unix(1_000_000, 0), answers: map[pollencontrol.Token]pollencontrol.Answer{},
+	}
 	for i := 1; i <= size; i++ {
 		h := &host{id: pollenlog.ReplicaID(10 * i), address: controlAddress(i)}
 		if i == 1 {
@@ -103,7 +109,7 @@
 			Seed: uint64(h.id) ^ uint64(c.now.UnixNano()), MaxAppendEntries: 64, MaxAppendBytes: 1 << 20,
 		},
 		Codec: pollenwire.ControlCodec{}, Lease: lease, CheckInterval: 100 * time.Millisecond, CompactEvery: 200, CompactBytes: compactBytes,
-		Guard: pollencontrol.HalfGuard{MaxUnguarded: 2}, MaxInlineBytes: 1100, PendingTimeout: 5 * time.Second, Replicas: c.size, AutoRepair: c.autoRepair,
+		Guard: pollencontrol.HalfGuard{MaxUnguarded: 2}, MaxInlineBytes: 1100, PendingTimeout: 5 * time.Second, Replicas: c.maxReplicas, AutoRepair: c.autoRepair,
 	}, stored)
 	if err != nil {
 		c.t.Fatalf("start host: %v", err)
@@ -278,7 +284,7 @@
 				continue
 			}
 			c.step(h, pollencontrol.Tick{})
-			if len(h.node.LogStatus().Membership.Replicas) == 0 {
+			if s := h.node.LogStatus(); len(s.Membership.Replicas) == 0 || c.now.Sub(s.LeaderSeen) >= joinDelay {
 				c.join(h)
 			}
 		}
--- a/pollencontrol/event.go
+++ b/pollencontrol/event.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"pollenstep.example/pollenstep/pollendocument"
 	"pollenstep.example/pollenstep/pollenkernel"
@@ -115,6 +116,19 @@
 // A BecameLeader reports that this replica has become the leader.
 type BecameLeader struct{ Term pollenlog.Term }
 
+// A MembershipChanging reports that this leader has proposed a change of the
+// membership.
+type MembershipChanging struct {
+	Index   pollenlog.Index
+	Replica pollenlog.Replica
+	// Removed is set if the replica is removed. Otherwise it is added, as a learner
+	// or with a vote.
+	Removed bool
+	Reason  ChangeReason
+	// LastContact is when a removed replica was last known to be up.
+	LastContact time.Time
+}
+
 // An UndecodableEntry reports that a committed entry or snapshot was skipped
 // because it could not be decoded.
 type UndecodableEntry struct {
@@ -122,12 +136,13 @@
 	Err   error
 }
 
-func (Persist) action()          {}
-func (SendLog) action()          {}
-func (SendNotice) action()       {}
-func (Reply) action()            {}
-func (BecameLeader) action()     {}
-func (UndecodableEntry) action() {}
+func (Persist) action()            {}
+func (SendLog) action()            {}
+func (SendNotice) action()         {}
+func (Reply) action()              {}
+func (BecameLeader) action()       {}
+func (MembershipChanging) action() {}
+func (UndecodableEntry) action()   {}
 
 // A Verdict is the result of an operator's call.
 type Verdict string
--- a/pollencontrol/node.go
+++ b/pollencontrol/node.go
@@ -354,9 +354,10 @@
 	n.lastCheck = n.now
 	n.checkMembers()
 	n.checkLedgers()
-	n.growMembership()
 	if n.config.AutoRepair {
 		n.replaceLost()
+	} else {
+		n.growMembership()
 	}
 	n.continueRepair()
 }
--- a/pollencontrol/repair.go
+++ b/pollencontrol/repair.go
@@ -45,19 +45,15 @@
 // A candidate at the address of another replica joins only through a repair,
 // since the loss of a disk must not go unnoticed.
 func (n *Node) growMembership() {
-	s := n.log.Status()
-	for id, c := range n.candidates {
-		if n.now.Sub(c.lastSeen) > maxCandidateAgeLeases*n.config.Lease {
-			delete(n.candidates, id)
-		}
-	}
+	n.expireCandidates()
 	if n.repair != nil {
 		return
 	}
+	s := n.log.Status()
 	for _, r := range s.Membership.Replicas {
 		if !r.Voter && s.Match[r.ID] >= s.Commit && !sharesAddress(s.Membership, r) {
 			r.Voter = true
-			n.changeMembership(pollenlog.ChangeMembership{Add: r})
+			n.changeMembership(pollenlog.ChangeMembership{Add: r}, ReasonCaughtUp)
 			return
 		}
 	}
@@ -69,11 +65,20 @@
 		if _, ok := s.Membership.Find(id); ok || sharesAddress(s.Membership, pollenlog.Replica{ID: id, Address: c.address}) {
 			continue
 		}
-		n.changeMembership(pollenlog.ChangeMembership{Add: pollenlog.Replica{ID: id, Address: c.address}})
+		n.changeMembership(pollenlog.ChangeMembership{Add: pollenlog.Replica{ID: id, Address: c.address}}, ReasonJoin)
 		return
 	}
 }
 
+// expireCandidates forgets the candidates that have stopped asking.
+func (n *Node) expireCandidates() {
+	for id, c := range n.candidates {
+		if n.now.Sub(c.lastSeen) > maxCandidateAgeLeases*n.config.Lease {
+			delete(n.candidates, id)
+		}
+	}
+}
+
 // sharesAddress reports whether another replica has the same address. Only a
 // repair may add or promote such a replica.
 func sharesAddress(m pollenlog.Membership, r pollenlog.Replica) bool {
@@ -94,10 +99,21 @@
 	return ids
 }
 
-func (n *Node) changeMembership(e pollenlog.ChangeMembership) {
+// changeMembership proposes the change and reports it if the log accepts it.
+func (n *Node) changeMembership(e pollenlog.ChangeMembership, reason ChangeReason) {
+	before := n.log.Status()
 	n.lastToken++
 	e.Token = n.lastToken
 	n.stepLog(e)
+	if n.log.Status().Last == before.Last {
+		return
+	}
+	changing := MembershipChanging{Index: before.Last + 1, Replica: e.Add, Removed: e.Remove != 0, Reason: reason}
+	if changing.Removed {
+		changing.Replica, _ = before.Membership.Find(e.Remove)
+		changing.LastContact = before.LastContact[e.Remove]
+	}
+	n.emit(changing)
 }
 
 // startRepair starts the repair of an address. It supersedes a repair of the
@@ -188,18 +204,18 @@
 	formerLearner, abandoned := learnerAt(s.Membership, r.address, r.replacement)
 	switch {
 	case abandoned:
-		n.changeMembership(pollenlog.ChangeMembership{Remove: formerLearner})
+		n.changeMembership(pollenlog.ChangeMembership{Remove: formerLearner}, ReasonRequested)
 	case !joined:
 		n.changeMembership(pollenlog.ChangeMembership{
 			Add: pollenlog.Replica{ID: r.replacement, Address: r.address},
-		})
+		}, ReasonRequested)
 	case s.Match[r.replacement] < r.target:
 		return
 	case r.lost != 0 && lostPresent:
-		n.changeMembership(pollenlog.ChangeMembership{Remove: r.lost})
+		n.changeMembership(pollenlog.ChangeMembership{Remove: r.lost}, ReasonRequested)
 	case !replacement.Voter:
 		replacement.Voter = true
-		n.changeMembership(pollenlog.ChangeMembership{Add: replacement})
+		n.changeMembership(pollenlog.ChangeMembership{Add: replacement}, ReasonRequested)
 		r.target = n.log.Status().Last
 	case s.Commit >= r.target:
 		n.repair = nil
--- a/pollennode/control.go
+++ b/pollennode/control.go
@@ -252,6 +252,8 @@
 			}
 		case pollencontrol.BecameLeader:
 			c.balancer.metrics.CountEvent(pollenmetric.EventLeaderElected, 1)
+		case pollencontrol.MembershipChanging:
+			c.logMembership(now, a)
 		case pollencontrol.UndecodableEntry:
 			c.balancer.metrics.CountEvent(pollenmetric.EventUndecodableEntry, 1)
 			c.balancer.log.Warn("committed log entry cannot be decoded; skipped", a.Err, pollenrecord.Fields{"index": a.Index})
@@ -263,6 +265,17 @@
 	c.publish(now)
 }
 
+func (c *control) logMembership(now time.Time, a pollencontrol.MembershipChanging) {
+	fields := pollenrecord.Fields{
+		"index": a.Index, "replica": a.Replica.ID, "address": a.Replica.Address, "voter": a.Replica.Voter,
+		"removed": a.Removed, "reason": a.Reason,
+	}
+	if !a.LastContact.IsZero() {
+		fields["silent"] = now.Sub(a.LastContact)
+	}
+	c.balancer.log.Info("membership of the log changing", fields)
+}
+
 // publish passes the leader and the committed updates to the balancer. If this
 // replica leads but has no lease, it passes on that no leader is known.
 func (c *control) publish(now time.Time) {
--- a/pollenquorum/quorum.go
+++ b/pollenquorum/quorum.go
@@ -231,6 +231,9 @@
 		case pollencontrol.BecameLeader:
 			q.base.Metrics.CountEvent(pollenmetric.EventLeaderElected, 1)
 			q.base.Log.WithField("term", a.Term).Info("leading")
+		case pollencontrol.MembershipChanging:
+			q.base.Log.WithField("replica", a.Replica.ID).WithField("address", a.Replica.Address).WithField("voter", a.Replica.Voter).
+				WithField("removed", a.Removed).WithField("reason", a.Reason).Info("membership of the log changing")
 		case pollencontrol.UndecodableEntry:
 			q.base.Metrics.CountEvent(pollenmetric.EventUndecodableEntry, 1)
 			q.base.Log.WithError(a.Err).WithField("index", a.Index).Error("committed log entry cannot be decoded; skipped")
