A later leader continues a repair

Callers: none have reported it. A control host whose disk was lost stayed without a vote for good if the leader was restarted while it was adding the host; the next loss then left no majority. A host that was replaced during its repair kept its successor out for 10 s.

Cause: an automatic repair was state of one leader and was begun only for a replica that asks to join; a learner of an earlier leader does not ask.

Why it works: every step follows from the membership, the contacts and the candidates, so it makes no difference which leader takes it.

--- a/pollencontrol/node.go
+++ b/pollencontrol/node.go
@@ -355,7 +355,7 @@
 	n.checkMembers()
 	n.checkLedgers()
 	if n.config.AutoRepair {
-		n.replaceLost()
+		n.changeRoster()
 	} else {
 		n.growMembership()
 	}
--- a/pollencontrol/repair.go
+++ b/pollencontrol/repair.go
@@ -25,8 +25,6 @@
 	// the promotion it is the index that the new voter must hold and that must
 	// be committed.
 	target pollenlog.Index
-	// startTime is when the repair was requested.
-	startTime time.Time
 }
 
 // addCandidate stores the request of an empty replica to join.
@@ -132,7 +130,7 @@
 		return
 	}
 	s := n.log.Status()
-	r := &repair{callToken: e.Token, address: e.Address, target: s.Last, replacement: n.replacementAt(e.Address), startTime: n.now}
+	r := &repair{callToken: e.Token, address: e.Address, target: s.Last, replacement: n.replacementAt(e.Address)}
 	for _, member := range s.Membership.Replicas {
 		if member.Address == e.Address && member.ID != r.replacement && member.Voter {
 			r.lost = member.ID
--- a/pollencontrol/replace_test.go
+++ b/pollencontrol/replace_test.go
@@ -39,6 +39,13 @@
 	return h
 }
 
+// loseDisk restarts a host with an empty disk.
+func (c *cluster) loseDisk(h *host) {
+	h.disk = pollenlog.StoredState{}
+	h.id += 1000
+	c.start(h)
+}
+
 // mustHaveVotes fails the test unless there is a leader for which just the given hosts
 // have a vote.
 func (c *cluster) mustHaveVotes(when string, hosts ...*host) {
@@ -103,6 +110,51 @@
 	})
 }
 
+// TestDiskReplacedAcrossLeaders guards against an empty replica that stays without a
+// vote when the leader that had begun to add it is gone.
+func TestDiskReplacedAcrossLeaders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newRepairingCluster(t, 3)
+		l := c.waitForLeader()
+		c.mustSubmit("first", document(0, 3))
+		for _, h := range c.hosts {
+			if h != l {
+				c.loseDisk(h)
+				break
+			}
+		}
+		// The leader is restarted at some time of the repair, which takes two seconds.
+		c.run(time.Duration(rapid.IntRange(0, 100).Draw(t, "ticks before the restart")) * tick)
+		if l := c.leader(); l != nil {
+			l.down = true
+			c.run(600 * time.Millisecond)
+			c.start(l)
+		}
+		c.run(2 * catchup)
+		c.mustHaveVotes("after the restart of the leader", c.hosts...)
+		c.mustSubmit("last", document(1, 4))
+	})
+}
+
+// TestReplacedDuringRepair guards against a repair that waits for an empty replica
+// which is gone for good: the successor at another address must get the vote.
+func TestReplacedDuringRepair(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newRepairingCluster(t, 3)
+		c.waitForLeader()
+		c.mustSubmit("first", document(0, 3))
+		at := rapid.IntRange(0, 2).Draw(t, "lost")
+		live := append([]*host(nil), c.hosts...)
+		c.loseDisk(live[at])
+		c.run(time.Duration(rapid.IntRange(0, 150).Draw(t, "ticks before the replacement")) * tick)
+		live[at].down = true
+		c.run(successorDelay)
+		live[at] = c.addHost()
+		c.run(catchup)
+		c.mustHaveVotes("after the replacement", live...)
+	})
+}
+
 // TestFrozenHostReturns guards against a host that stays without a vote after a pause
 // in which an empty host took its place.
 func TestFrozenHostReturns(t *testing.T) {
@@ -120,3 +172,47 @@
 		c.mustSubmit("last", document(0, 4))
 	})
 }
+
+// TestLossesInTurn guards against a loss that leaves the control plane weaker than it
+// was: after each one, as soon as the lost host or its successor has had its time to
+// catch up, every host has a vote again.
+func TestLossesInTurn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.SampledFrom([]int{3, 5, 6}).Draw(t, "hosts")
+		c := newRepairingCluster(t, size)
+		c.waitForLeader()
+		c.mustSubmit("first", document(0, 3))
+		live := append([]*host(nil), c.hosts...)
+		for i := range rapid.IntRange(2, 4).Draw(t, "losses") {
+			c.run(time.Duration(rapid.IntRange(0, 50).Draw(t, "ticks before the loss")) * tick)
+			at := rapid.IntRange(0, size-1).Draw(t, "lost")
+			down := time.Duration(rapid.IntRange(5, 250).Draw(t, "ticks lost")) * tick
+			kind := rapid.SampledFrom([]string{"kill", "freeze", "partition", "lose the disk", "replace"}).Draw(t, "kind")
+			switch h := live[at]; kind {
+			case "freeze":
+				h.frozen = true
+				c.run(down)
+				h.frozen = false
+			case "partition":
+				h.partitioned = true
+				c.run(down)
+				h.partitioned = false
+			case "replace":
+				h.down = true
+				c.run(successorDelay)
+				live[at] = c.addHost()
+			default:
+				h.down = true
+				c.run(down)
+				if kind == "lose the disk" {
+					c.loseDisk(h)
+				} else {
+					c.start(h)
+				}
+			}
+			c.run(catchup)
+			c.mustHaveVotes(fmt.Sprintf("%s after loss %d (%s)", catchup, i+1, kind), live...)
+		}
+		c.mustSubmit("last", document(1, 4))
+	})
+}
--- a/pollencontrol/roster.go
+++ b/pollencontrol/roster.go
@@ -57,6 +57,21 @@
 	limit int
 }
 
+// changeRoster makes the next change of the membership that is due without an
+// operator.
+func (n *Node) changeRoster() {
+	n.expireCandidates()
+	r := roster{
+		now: n.now, status: n.log.Status(), electedAt: n.leaderSince, contactWindow: n.config.Log.ElectionTimeout, limit: n.config.Replicas,
+	}
+	for _, id := range n.candidateIDs() {
+		r.candidates = append(r.candidates, pollenlog.Replica{ID: id, Address: n.candidates[id].address})
+	}
+	if change, reason, due := r.next(); due {
+		n.changeMembership(change, reason)
+	}
+}
+
 // next returns the next change that is due and its reason; the result is false
 // when there is none.
 func (r *roster) next() (pollenlog.ChangeMembership, ChangeReason, bool) {
@@ -104,28 +119,55 @@
 	return n
 }
 
-// dropLearner removes a learner that has been silent for too long.
+// at returns the replica at the address of c that is not c itself and has or has not
+// a vote.
+func (r *roster) at(c pollenlog.Replica, voter bool) (pollenlog.ReplicaID, bool) {
+	for _, m := range r.status.Membership.Replicas {
+		if m.Address == c.Address && m.ID != c.ID && m.Voter == voter {
+			return m.ID, true
+		}
+	}
+	return 0, false
+}
+
+// dropLearner removes a learner that has been silent for too long, or whose address an
+// empty replica has taken over.
 func (r *roster) dropLearner() (pollenlog.ChangeMembership, ChangeReason, bool) {
 	for _, m := range r.status.Membership.Replicas {
 		if !m.Voter && r.silence(m.ID) >= removeAfter {
 			return pollenlog.ChangeMembership{Remove: m.ID}, ReasonSilent, true
 		}
 	}
+	for _, c := range r.candidates {
+		if learner, ok := r.at(c, false); ok && !r.isMember(c) && r.silence(learner) >= replaceAfter {
+			return pollenlog.ChangeMembership{Remove: learner}, ReasonSucceeded, true
+		}
+	}
 	return pollenlog.ChangeMembership{}, "", false
 }
 
+func (r *roster) isMember(c pollenlog.Replica) bool {
+	_, member := r.status.Membership.Find(c.ID)
+	return member
+}
+
 // seatLearner gives a vote to a learner that has caught up. A voter that is silent
 // is removed before; while one has just stopped to answer, the learner waits until
-// it answers again or counts as silent.
+// it answers again or counts as silent. A voter at the address of the learner has lost
+// its disk; no other one is removed for this learner.
 func (r *roster) seatLearner() (pollenlog.ChangeMembership, ChangeReason, bool) {
 	for _, m := range r.status.Membership.Replicas {
-		if m.Voter || !r.answers(m.ID) || r.status.Match[m.ID] < r.status.Commit || sharesAddress(r.status.Membership, m) {
+		if m.Voter || !r.answers(m.ID) || r.status.Match[m.ID] < r.status.Commit {
 			continue
 		}
-		if silent, ok := r.longestSilent(true); ok {
-			return pollenlog.ChangeMembership{Remove: silent}, ReasonSucceeded, true
+		lost, shared := r.at(m, true)
+		if !shared {
+			lost, _ = r.longestSilent(true)
+		}
+		if lost != 0 && r.silence(lost) >= replaceAfter {
+			return pollenlog.ChangeMembership{Remove: lost}, ReasonSucceeded, true
 		}
-		if r.answeringVoters() == r.status.Membership.VoterCount() {
+		if !shared && r.answeringVoters() == r.status.Membership.VoterCount() {
 			m.Voter = true
 			return pollenlog.ChangeMembership{Add: m}, ReasonCaughtUp, true
 		}
@@ -134,13 +176,16 @@
 }
 
 // admit adds a candidate as a learner. If the membership is full, a silent replica
-// is removed first.
+// is removed first; a candidate at the address of a silent voter replaces it in any
+// case.
 func (r *roster) admit() (pollenlog.ChangeMembership, ChangeReason, bool) {
 	for _, c := range r.candidates {
-		if _, member := r.status.Membership.Find(c.ID); member || sharesAddress(r.status.Membership, c) {
+		lost, shared := r.at(c, true)
+		_, waits := r.at(c, false)
+		if r.isMember(c) || waits || shared && r.silence(lost) < replaceAfter {
 			continue
 		}
-		if len(r.status.Membership.Replicas) < r.limit {
+		if shared || len(r.status.Membership.Replicas) < r.limit {
 			return pollenlog.ChangeMembership{Add: c}, ReasonJoin, true
 		}
 		if silent, ok := r.longestSilent(false); ok {
