An evacuation follows a revision that its waiting caller saw

A balancer that woke after a pause carried out the order of a caller who had left; that order undid a newer one.

Cause: an order to start or end an evacuation names no version, so whichever is committed last is in force. A copy of a call between two hosts that is held up on a full link has the same effect.

Why it works: the balancer reads the revision from the leader, then makes sure that the caller is still there, and sends the order with that revision; it has no effect if an evacuation was started or ended later. A caller who still waits cannot have sent a newer order before the revision was read.

Tests changed: The calls of TestCallFollowsTheLeader are declarations now, since an evacuation makes two calls; TestDomainEvacuation names the revision in force.

--- a/pollencontrol/declaration.go
+++ b/pollencontrol/declaration.go
@@ -1,6 +1,8 @@
 package pollencontrol
 
 import (
+	"fmt"
+
 	"pollenstep.example/pollenstep/pollenlog"
 	"pollenstep.example/pollenstep/pollenview"
 )
@@ -25,6 +27,10 @@
 // The command is proposed even when the view already shows the requested state,
 // since the view may lag behind a committed command for the opposite state.
 func (n *Node) evacuate(e Evacuate) {
+	if view := n.replica.View(); view.Overtaken(e.Evacuation) {
+		n.reply(e.Token, overtakenAnswer(view))
+		return
+	}
 	n.proposeFor(e.Token, pollenview.Command{Kind: pollenview.CommandEvacuate, Evacuation: e.Evacuation})
 }
 
@@ -40,13 +46,20 @@
 	n.stepLog(pollenlog.Propose{Token: n.lastToken, Data: n.config.Codec.EncodeCommand(&c)})
 }
 
-// answerCommitted replies to the pending command without a submission ID whose
-// entry is e.
-func (n *Node) answerCommitted(e pollenlog.Entry) {
+func overtakenAnswer(v *pollenview.View) Answer {
+	return Answer{
+		Verdict: VerdictConflict,
+		Reason:  fmt.Sprintf("an evacuation was started or ended at revision %d, after the caller read the state", v.EvacuatedAt),
+	}
+}
+
+// answerCommitted replies with the answer to the pending command without a submission
+// ID whose entry is e.
+func (n *Node) answerCommitted(e pollenlog.Entry, a Answer) {
 	for token, p := range n.pendingSubmissions {
 		if p.id == "" && p.index == e.Index && p.term == e.Term {
 			delete(n.pendingSubmissions, token)
-			n.reply(p.callToken, Answer{Verdict: VerdictDone})
+			n.reply(p.callToken, a)
 		}
 	}
 }
--- a/pollencontrol/declaration_test.go
+++ b/pollencontrol/declaration_test.go
@@ -152,6 +152,7 @@
 		{Domain: "b", Evacuated: true}, {Domain: "a", Evacuated: true}, {Domain: "b", Evacuated: true}, {Domain: "a"}, {Domain: "c"},
 	} {
 		answer := h.call(func(t pollencontrol.Token) pollencontrol.Event {
+			e.Known = h.node.View().Revision
 			return pollencontrol.Evacuate{Token: t, Evacuation: e}
 		})
 		if answer.Verdict != pollencontrol.VerdictDone {
@@ -163,6 +164,44 @@
 	}
 }
 
+// TestOvertakenEvacuation guards against an order that was held up on its way, or that
+// arrives a second time, and then undoes a newer one that was acknowledged.
+func TestOvertakenEvacuation(t *testing.T) {
+	h := newSingleHost(t)
+	order := func(e pollenview.Evacuation) pollencontrol.Answer {
+		return h.call(func(t pollencontrol.Token) pollencontrol.Event {
+			return pollencontrol.Evacuate{Token: t, Evacuation: e}
+		})
+	}
+	known := func() pollenview.Revision { return h.node.View().Revision }
+	if a := order(pollenview.Evacuation{Domain: "a", Evacuated: true, Known: known()}); a.Verdict != pollencontrol.VerdictDone {
+		t.Fatalf("evacuation: %+v", a)
+	}
+	late := pollenview.Evacuation{Domain: "a", Known: known()}
+	for _, e := range []pollenview.Evacuation{{Domain: "a"}, {Domain: "a", Evacuated: true}} {
+		e.Known = known()
+		if a := order(e); a.Verdict != pollencontrol.VerdictDone {
+			t.Fatalf("%+v: %+v", e, a)
+		}
+	}
+	if a := order(late); a.Verdict != pollencontrol.VerdictConflict {
+		t.Errorf("order that was overtaken: %+v, want a conflict", a)
+	}
+	if !h.node.View().DomainEvacuated("a") {
+		t.Error("an order that was overtaken ended the evacuation")
+	}
+	// A command that was proposed before the newer one was applied is ignored, too.
+	view := h.node.View().Clone()
+	view.Apply(view.Revision+1, &pollenview.Command{Kind: pollenview.CommandEvacuate, Evacuation: late})
+	if !view.DomainEvacuated("a") {
+		t.Error("a command that was overtaken ended the evacuation")
+	}
+	late.Known = known()
+	if a := order(late); a.Verdict != pollencontrol.VerdictDone || h.node.View().DomainEvacuated("a") {
+		t.Errorf("order after the state was read again: %+v, want it done", a)
+	}
+}
+
 // TestUpdateOmitsSupersededDeclarations guards against updates that grow with
 // every declaration in the log. An update must contain one declaration at most,
 // without its source, and still bring a view to the same state.
--- a/pollencontrol/event.go
+++ b/pollencontrol/event.go
@@ -44,7 +44,7 @@
 }
 
 // An Evacuate requests that a failure domain be taken out of service or put
-// back.
+// back. It is answered with VerdictConflict if it was overtaken.
 type Evacuate struct {
 	Token      Token
 	Evacuation pollenview.Evacuation
@@ -155,6 +155,9 @@
 	VerdictNotRun Verdict = "not-run"
 	// VerdictRefused means that the change was rejected and has no effect.
 	VerdictRefused Verdict = "refused"
+	// VerdictConflict means that the state has changed since the caller read it,
+	// and that the call has no effect.
+	VerdictConflict Verdict = "conflict"
 	// VerdictUnknown means that the change may still take effect; resending it
 	// with the same ID returns the outcome.
 	VerdictUnknown Verdict = "unknown"
--- a/pollencontrol/node.go
+++ b/pollencontrol/node.go
@@ -240,11 +240,15 @@
 				command = decoded
 			}
 		}
+		answer := Answer{Verdict: VerdictDone}
+		if view := n.replica.View(); command.Kind == pollenview.CommandEvacuate && view.Overtaken(command.Evacuation) {
+			answer = overtakenAnswer(view)
+		}
 		outcome, submitted := n.replica.Apply(pollenview.Revision(e.Index), command)
 		if submitted {
 			n.answerDecided(outcome)
 		}
-		n.answerCommitted(e)
+		n.answerCommitted(e, answer)
 	}
 	n.answerOverwritten(entries)
 	if n.proposedIndex != 0 && n.proposedIndex <= pollenlog.Index(n.replica.Revision()) {
--- a/pollenemulator/operator.go
+++ b/pollenemulator/operator.go
@@ -71,14 +71,23 @@
 
 // setEvacuation evacuates a failure domain, or ends its evacuation.
 func (o *operator) setEvacuation(domain pollendocument.DomainName, evacuated bool) {
-	e := pollenview.Evacuation{Domain: domain, Evacuated: evacuated}
 	if !evacuated {
 		delete(o.evacuatedAt, domain)
 	}
-	o.submit(pollenlink.MethodEvacuate, pollenwire.Marshal(&e, pollenwire.MapEvacuation), func(*pollenlink.Answer) {
-		if evacuated {
-			o.evacuatedAt[domain] = o.w.now
+	o.submit(pollenlink.MethodGetRevision, nil, func(a *pollenlink.Answer) {
+		e := pollenview.Evacuation{Domain: domain, Evacuated: evacuated}
+		if err := pollenwire.Unmarshal(a.Body, &e.Known, pollenwire.MapRevision); err != nil {
+			o.undecided++
+			return
 		}
+		o.submit(pollenlink.MethodEvacuate, pollenwire.Marshal(&e, pollenwire.MapEvacuation), func(a *pollenlink.Answer) {
+			switch {
+			case a.Result == pollenlink.ResultConflict:
+				o.setEvacuation(domain, evacuated)
+			case evacuated:
+				o.evacuatedAt[domain] = o.w.now
+			}
+		})
 	})
 }
 
@@ -92,8 +101,8 @@
 	})
 }
 
-// submit sends a new call; done is called once with its acknowledgement, if that
-// arrives in time.
+// submit sends a new call; done is called once with its acknowledgement, or with the
+// answer that it was overtaken, if that arrives in time.
 func (o *operator) submit(method pollenlink.Method, body []byte, done func(*pollenlink.Answer)) {
 	o.lastCallID++
 	id := o.lastCallID
@@ -147,7 +156,7 @@
 		return
 	}
 	c, pending := o.pending[a.ID]
-	if !pending || a.Result != pollenlink.ResultDone {
+	if !pending || a.Result != pollenlink.ResultDone && a.Result != pollenlink.ResultConflict {
 		return
 	}
 	delete(o.pending, a.ID)
--- a/pollenlink/call.go
+++ b/pollenlink/call.go
@@ -14,6 +14,8 @@
 	// MethodGetDeclaration reads the declaration that is in force, with a
 	// linearizable read.
 	MethodGetDeclaration Method = "declared"
+	// MethodGetRevision reads the revision of the view, with a linearizable read.
+	MethodGetRevision Method = "revision"
 )
 
 // A Call is a request to another node. It may be lost, and may arrive more than
@@ -33,6 +35,9 @@
 	ResultDone Result = "done"
 	// ResultRefused means that the request is invalid or conflicts with the state.
 	ResultRefused Result = "refused"
+	// ResultConflict means that the state has changed since the caller read it. The
+	// call had no effect; the caller may read the state and call again.
+	ResultConflict Result = "conflict"
 	// ResultRetry means that this node cannot answer now. Another node may, or the
 	// same one later.
 	ResultRetry Result = "again"
--- a/pollennode/operator.go
+++ b/pollennode/operator.go
@@ -24,6 +24,9 @@
 	// ErrUndecided is the cause of errors about calls that may or may not take
 	// effect. The same call may be sent again, to this or another balancer.
 	ErrUndecided = errors.New("operator call is undecided")
+	// errConflict is the cause of errors about calls that had no effect since the
+	// state had changed.
+	errConflict = errors.New("operator call is overtaken")
 )
 
 // Timing of operators' calls.
@@ -33,6 +36,9 @@
 	callTimeout = 250 * time.Millisecond
 	// leaderPollInterval is the interval at which a call checks for a leader.
 	leaderPollInterval = 30 * time.Millisecond
+	// callerLeaveTime is the time by which the end of a caller's connection may
+	// arrive later than the call if both were held up on their way.
+	callerLeaveTime = 20 * time.Millisecond
 )
 
 // Declare puts a declaration in force. It returns nil once the declaration or a
@@ -45,9 +51,29 @@
 
 // SetEvacuation starts or ends the evacuation of a failure domain. It returns nil
 // once that is committed. The cause of its errors is ErrRefused or ErrUndecided.
+//
+// The context must end when the caller has stopped to wait, since the caller may then
+// have sent the call elsewhere, and a newer one after it. The call takes effect only if
+// the caller was still waiting when a revision was read after which no other evacuation
+// was committed. Thus a call that was held up here or on its way, or that is sent twice,
+// never undoes a newer one. SetEvacuation sets e.Known.
 func (b *Balancer) SetEvacuation(ctx context.Context, e pollenview.Evacuation) error {
-	_, err := b.callLeader(ctx, pollenlink.MethodEvacuate, pollenwire.Marshal(&e, pollenwire.MapEvacuation))
-	return err
+	for {
+		body, err := b.callLeader(ctx, pollenlink.MethodGetRevision, nil)
+		if err != nil {
+			return err
+		}
+		if err := pollenwire.Unmarshal(body, &e.Known, pollenwire.MapRevision); err != nil {
+			return errors.Wrap(err, "decode revision from the leading control host")
+		}
+		if pause(ctx, callerLeaveTime); ctx.Err() != nil {
+			return errors.Wrap(ErrUndecided, ctx.Err().Error())
+		}
+		_, err = b.callLeader(ctx, pollenlink.MethodEvacuate, pollenwire.Marshal(&e, pollenwire.MapEvacuation))
+		if !errors.Is(err, errConflict) {
+			return err
+		}
+	}
 }
 
 // Declaration returns the declaration in force, with its source. It asks the leading
@@ -65,7 +91,7 @@
 
 // callLeader calls the leading control host until it decides the call or the
 // context ends. Every call may be repeated because it states the wanted result
-// and not a change.
+// and not a change, and names the version or revision that it follows.
 func (b *Balancer) callLeader(ctx context.Context, method pollenlink.Method, body []byte) ([]byte, error) {
 	last := "no leading control host is known"
 	var targets callTargets
@@ -89,6 +115,8 @@
 			return answer.Body, nil
 		case pollenlink.ResultRefused:
 			return nil, errors.Wrap(ErrRefused, answer.Reason)
+		case pollenlink.ResultConflict:
+			return nil, errors.Wrap(errConflict, answer.Reason)
 		case pollenlink.ResultRetry:
 			last = answer.Reason
 			if targets.answered(target, &answer) {
@@ -185,14 +213,22 @@
 		return func(t pollencontrol.Token) pollencontrol.Event {
 			return pollencontrol.Evacuate{Token: t, Evacuation: e}
 		}, nil
-	case pollenlink.MethodGetDeclaration:
+	case pollenlink.MethodGetDeclaration, pollenlink.MethodGetRevision:
 		return func(t pollencontrol.Token) pollencontrol.Event { return pollencontrol.Query{Token: t} }, nil
 	}
 	return nil, errors.Errorf("unknown method %q", call.Method)
 }
 
+// readResult returns what a call of the method reads from the view.
+func readResult(method pollenlink.Method, v *pollenview.View) []byte {
+	if method == pollenlink.MethodGetRevision {
+		return pollenwire.Marshal(&v.Revision, pollenwire.MapRevision)
+	}
+	return pollenwire.Marshal(&v.Declared, pollenwire.MapDeclaration)
+}
+
 // answerForCall converts the replica's answer to the answer of the call and logs
-// it. A successful read of the declaration is not logged.
+// it. A successful read is not logged.
 func (b *Balancer) answerForCall(call pollenlink.Call, a pollencontrol.Answer) pollenlink.Answer {
 	answer := pollenlink.Answer{ID: call.ID, Result: pollenlink.ResultRetry, Reason: a.Reason, Leader: a.Leader}
 	switch a.Verdict {
@@ -200,15 +236,17 @@
 		answer.Result = pollenlink.ResultDone
 	case pollencontrol.VerdictRefused:
 		answer.Result = pollenlink.ResultRefused
+	case pollencontrol.VerdictConflict:
+		answer.Result = pollenlink.ResultConflict
 	case pollencontrol.VerdictNotRun, pollencontrol.VerdictUnknown:
 	}
 	if a.State != nil {
-		answer.Body = pollenwire.Marshal(&a.State.View.Declared, pollenwire.MapDeclaration)
+		answer.Body = readResult(call.Method, a.State.View)
 	}
 	if a.Refusal != "" {
 		b.metrics.CountRefusal(a.Refusal)
 	}
-	if call.Method != pollenlink.MethodGetDeclaration || answer.Result != pollenlink.ResultDone {
+	if a.State == nil {
 		b.log.Info("operator call answered", pollenrecord.Fields{
 			"call": call.ID, "method": call.Method, "result": answer.Result, "reason": a.Reason, "leader": a.Leader,
 		})
--- a/pollennode/operator_test.go
+++ b/pollennode/operator_test.go
@@ -8,11 +8,11 @@
 	"testing"
 	"time"
 
+	"pollenstep.example/pollenstep/pollendocument"
 	"pollenstep.example/pollenstep/pollenlink"
 	"pollenstep.example/pollenstep/pollenlog"
 	"pollenstep.example/pollenstep/pollennode"
 	"pollenstep.example/pollenstep/pollenpeer"
-	"pollenstep.example/pollenstep/pollenview"
 	"pollenstep.example/pollenstep/pollenwire"
 )
 
@@ -85,7 +85,7 @@
 			}
 			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 			defer cancel()
-			if err := b.SetEvacuation(ctx, pollenview.Evacuation{Domain: "a"}); err != nil {
+			if err := b.Declare(ctx, &pollendocument.Declaration{Version: 1}); err != nil {
 				t.Fatal(err)
 			}
 			transport.mu.Lock()
--- a/pollenview/command.go
+++ b/pollenview/command.go
@@ -46,6 +46,10 @@
 	Domain pollendocument.DomainName
 	// Evacuated is false when the domain is put back.
 	Evacuated bool
+	// Known is a revision that was in force while the caller was waiting. The
+	// evacuation is ignored if an evacuation was started or ended after it, so that
+	// an order that was held up never undoes a newer one.
+	Known Revision
 }
 
 // A LedgerChange replaces the ledger group of a service.
@@ -140,7 +144,7 @@
 			v.Declared = *c.Declaration
 		}
 	case CommandEvacuate:
-		v.applyEvacuation(c.Evacuation)
+		v.applyEvacuation(revision, c.Evacuation)
 	case CommandNone:
 	}
 	return Outcome{}, false
@@ -157,14 +161,21 @@
 	}
 }
 
-func (v *View) applyEvacuation(e Evacuation) {
+// Overtaken reports whether an evacuation was started or ended after the revision that
+// is known to the caller of e.
+func (v *View) Overtaken(e Evacuation) bool { return v.EvacuatedAt > e.Known }
+
+func (v *View) applyEvacuation(revision Revision, e Evacuation) {
 	index, found := slices.BinarySearch(v.Evacuated, e.Domain)
 	switch {
-	case e.Evacuated && !found:
+	case v.Overtaken(e) || e.Evacuated == found:
+		return
+	case e.Evacuated:
 		v.Evacuated = slices.Insert(slices.Clone(v.Evacuated), index, e.Domain)
-	case !e.Evacuated && found:
+	default:
 		v.Evacuated = slices.Delete(slices.Clone(v.Evacuated), index, index+1)
 	}
+	v.EvacuatedAt = revision
 }
 
 func (v *View) applyLedgers(changes []LedgerChange) {
--- a/pollenview/view.go
+++ b/pollenview/view.go
@@ -83,6 +83,8 @@
 	// Evacuated lists the evacuated failure domains. It is sorted and never
 	// changed in place.
 	Evacuated []pollendocument.DomainName
+	// EvacuatedAt is the revision at which Evacuated last changed.
+	EvacuatedAt Revision
 }
 
 // NewView returns a new empty View.
@@ -108,7 +110,7 @@
 	}
 	c.Outcomes = slices.Clone(v.Outcomes)
 	c.Declared = v.Declared
-	c.Evacuated = v.Evacuated
+	c.Evacuated, c.EvacuatedAt = v.Evacuated, v.EvacuatedAt
 	return c
 }
 
--- a/pollenwire/view.go
+++ b/pollenwire/view.go
@@ -19,6 +19,7 @@
 	list(c, &v.Outcomes, MapOutcome)
 	MapDeclaration(c, &v.Declared)
 	list(c, &v.Evacuated, text[pollendocument.DomainName])
+	unsigned(c, &v.EvacuatedAt)
 }
 
 func mapMembers(c *Codec, v *pollenview.View) {
@@ -155,6 +156,7 @@
 func MapEvacuation(c *Codec, e *pollenview.Evacuation) {
 	text(c, &e.Domain)
 	boolean(c, &e.Evacuated)
+	unsigned(c, &e.Known)
 }
 
 // MapSubmission encodes or decodes the section changes that an operator
