Numbers that do not fit are refused where they are read

A document whose weights overflow would end every balancer at the first opening packet, again after each restart.

Cause: numbers were taken as they came and overflowed in sums and conversions.

--- a/pollendocument/declaration.go
+++ b/pollendocument/declaration.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -75,6 +76,14 @@
 	Source []byte
 }
 
+// Limits of the numbers in a Declaration. Larger ones overflow in sums and products.
+const (
+	// maxRouteWeight is the maximum sum of the weights of one route.
+	maxRouteWeight = math.MaxInt32
+	// maxColdRate is in requests per second.
+	maxColdRate = 1e9
+)
+
 // ErrInvalid is the cause of the errors that Declaration.Check returns.
 var ErrInvalid = errors.New("declaration is invalid")
 
@@ -89,6 +98,9 @@
 		if pools[p.Name] {
 			return errors.Wrapf(ErrInvalid, "service %q is declared twice", p.Name)
 		}
+		if p.ColdRate > maxColdRate {
+			return errors.Wrapf(ErrInvalid, "service %q has the cold rate %g; at most %g is allowed", p.Name, p.ColdRate, float64(maxColdRate))
+		}
 		pools[p.Name] = true
 	}
 	addresses := make(map[netip.AddrPort]string, len(d.Routes))
@@ -116,6 +128,7 @@
 	case !slices.Contains([]RouteKind{RouteSafe, RouteUnsafe, RouteDownload}, r.Kind):
 		return errors.Wrapf(ErrInvalid, "route %q has the unknown kind %q", r.Name, r.Kind)
 	}
+	rest := maxRouteWeight
 	for _, s := range r.Shares {
 		if !pools[s.Service] {
 			return errors.Wrapf(ErrInvalid, "route %q refers to service %q, which is not declared", r.Name, s.Service)
@@ -123,6 +136,10 @@
 		if s.Weight <= 0 {
 			return errors.Wrapf(ErrInvalid, "route %q gives service %q the weight %d, which is not positive", r.Name, s.Service, s.Weight)
 		}
+		if s.Weight > rest {
+			return errors.Wrapf(ErrInvalid, "the weights of route %q exceed %d", r.Name, maxRouteWeight)
+		}
+		rest -= s.Weight
 	}
 	return nil
 }
