--- a/pollenemulator/disk.go
+++ b/pollenemulator/disk.go
@@ -119,20 +119,19 @@
 	path string
 }
 
-// Write implements pollenstore.File.
+// Write implements pollenstore.File. The write that meets the end of a full disk is
+// carried out in part.
 func (f *file) Write(data []byte) (int, error) {
-	if err := f.d.writeError(); err != nil {
-		return 0, err
+	err := f.d.writeError()
+	if err != nil {
+		data = data[:f.d.random.IntN(len(data)+1)]
 	}
 	f.d.files[f.path] = append(f.d.files[f.path], data...)
-	return len(data), nil
+	return len(data), err
 }
 
-// Sync implements pollenstore.File.
+// Sync implements pollenstore.File. It succeeds on a full disk, for what was written.
 func (f *file) Sync() error {
-	if err := f.d.writeError(); err != nil {
-		return err
-	}
 	f.d.synced[f.path] = slices.Clone(f.d.files[f.path])
 	return nil
 }
