An opening packet that may have been retransmitted is not reset

A gate that woke from a pause declined opening packets whose retransmissions had opened the flows at another gate.

Cause: a declined opening packet was placed like one that has just arrived. With no other gate to take it the flow was reset, with one the flow's gate was forgotten. A balancer or a gate that was paused itself did the same to packets that had waited in its socket.

Why it works: a reset needs that the caller cannot have retransmitted, which is so for the only transmission that was received, within 200 ms and without a pause.

--- a/pollengate/admit.go
+++ b/pollengate/admit.go
@@ -47,9 +47,9 @@
 		return Decision{Verdict: VerdictDecline, Reason: pollenkernel.RefusalNoSlots, Opening: true, Wait: wait}
 	}
 	if r := g.routes[p.Flow.Service]; r != nil && wait > 0 {
-		// Only the first packet is reset: a retransmission may belong to a flow that
-		// was opened elsewhere in the meantime, and a reset would end that flow.
-		if wait > r.Timeout && p.Acknowledged == 0 {
+		// Only the first packet is reset, and only if it is new: a retransmission may
+		// have opened the flow elsewhere, and a reset would end that flow.
+		if wait > r.Timeout && p.Acknowledged == 0 && !g.mayBeOld(now) {
 			return Decision{Verdict: VerdictReset, Reason: pollenkernel.RefusalNoSlots, Opening: true, Wait: wait}
 		}
 		if wait > g.maxWait(r, p.Acknowledged) {
@@ -111,6 +111,26 @@
 // caller sends each retransmission, indexed by the number of earlier packets.
 var retransmissionTimes = [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
 
+// Limits for packets that waited in the socket of a paused process.
+const (
+	// pauseTimeout is the time without a call of Sweep that counts as a pause. It is
+	// longer than the time to a caller's first retransmission.
+	pauseTimeout = 300 * time.Millisecond
+	// openingAge is how long an opening packet matters to its caller, who then gives
+	// up.
+	openingAge = 1400 * time.Millisecond
+)
+
+func (g *Gate) paused(now time.Time) bool {
+	return !g.tickedAt.IsZero() && now.Sub(g.tickedAt) >= pauseTimeout
+}
+
+// mayBeOld reports whether an opening packet may have waited here for so long that its
+// caller has retransmitted it.
+func (g *Gate) mayBeOld(now time.Time) bool {
+	return g.paused(now) || now.Sub(g.wokeAt) < openingAge
+}
+
 // maxWait returns how long a request of the route may wait for a slot and still
 // be answered within the objective of the route, given the time that its caller
 // has already waited. It is never negative.
--- a/pollengate/admit_test.go
+++ b/pollengate/admit_test.go
@@ -183,3 +183,35 @@
 		g.HandleServerPacket(startTime, &pollenpacket.Packet{Flow: flow(uint16(i)), ACK: true, Sequence: 501, Size: 10})
 	}
 }
+
+// A gate that was paused finds opening packets in its socket whose retransmissions may
+// have opened the flow elsewhere by now. It must not reset them, however long the queue.
+func TestOpeningReadAfterPause(t *testing.T) {
+	for name, c := range map[string]struct {
+		pause time.Duration
+		want  pollengate.Verdict
+	}{
+		"no pause": {0, pollengate.VerdictReset},
+		"pause":    {3500 * time.Millisecond, pollengate.VerdictDecline},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newReadyGate(0, 0)
+			now := startTime
+			// The requests of many open flows fill the queue beyond the timeout.
+			for i := range uint16(150) {
+				sendOpening(g, now, i, 0, 9)
+				answerOpening(g, now, i)
+				g.HandleServerPacket(now, &pollenpacket.Packet{Flow: flow(i), ACK: true, Sequence: 501, Size: 10})
+			}
+			for i := range uint16(150) {
+				sendPacket(g, now, i, pollenlink.KindPass, 511, 10)
+			}
+			g.Sweep(now)
+			now = now.Add(c.pause)
+			g.HandleReport(now, report(pollenpeer.ServerReady, 2))
+			if d := sendOpening(g, now, 999, 0, 9); d.Verdict != c.want {
+				t.Fatalf("decision %+v; want verdict %s", d, c.want)
+			}
+		})
+	}
+}
--- a/pollengate/flow.go
+++ b/pollengate/flow.go
@@ -135,8 +135,13 @@
 )
 
 // Sweep removes idle flows and unanswered probes, and ends stages that exceed
-// their timeout. It does nothing if the last sweep is less than a second ago.
+// their timeout, at most once a second. It must be called at every tick, by which it
+// notices pauses of the process.
 func (g *Gate) Sweep(now time.Time) {
+	if g.paused(now) {
+		g.wokeAt = now
+	}
+	g.tickedAt = now
 	if now.Sub(g.lastSweep) < sweepInterval {
 		return
 	}
--- a/pollengate/gate.go
+++ b/pollengate/gate.go
@@ -121,6 +121,9 @@
 	// answered in time and that another gate had declined before.
 	overloadedAt time.Time
 	lastSweep    time.Time
+	// tickedAt is when Sweep was last called, and wokeAt when it was last called after
+	// a pause; zero before.
+	tickedAt, wokeAt time.Time
 	// probes holds the flows that this gate does not track and for which a packet
 	// was delivered to find out whether the backend server holds them.
 	probes map[pollenpacket.Flow]probe
--- a/pollensteer/balancer.go
+++ b/pollensteer/balancer.go
@@ -146,9 +146,10 @@
 	queriedAt time.Time
 	// notFound lists the gates that reported that they do not hold the flow.
 	notFound []*gate
-	// declinedTransmissions has one bit for each transmission of the opening
-	// packet that was declined by busy gates only.
-	declinedTransmissions uint8
+	// transmissions has one bit for each transmission of the opening packet that was
+	// received here, and declinedTransmissions for each that was declined by busy
+	// gates only.
+	transmissions, declinedTransmissions uint8
 }
 
 // A route is a route of the view, with the sum of the weights of its shares and
@@ -332,11 +333,18 @@
 	if decliner != nil {
 		decliner.applyRefusal(h.Reason)
 	}
+	if openedElsewhere(&cached, p, decliner) {
+		if h.Reason == pollenkernel.RefusalNoSlots {
+			cached.declinedTransmissions |= transmissionBit(p)
+			b.flowCache[k] = cached
+		}
+		return Decision{Verdict: VerdictDrop, Reason: h.Reason}
+	}
 	if h.Reason == pollenkernel.RefusalNoSlots && h.Hops >= maxBusyHops {
-		return b.handleAllBusy(now, k, p, cached)
+		return b.handleAllBusy(k, p, cached)
 	}
 	if h.Hops >= maxHops {
-		return resetOrDrop(p, pollenkernel.RefusalHopLimit)
+		return b.rejectOpening(now, p, &cached, pollenkernel.RefusalHopLimit)
 	}
 	return b.place(now, k, r, p, cached, int(h.Hops), decliner)
 }
--- a/pollensteer/open.go
+++ b/pollensteer/open.go
@@ -23,15 +23,33 @@
 // then neither of the two earlier transmissions was answered.
 const reassignRetransmission = 2
 
-// allTransmissions has the bits of the opening packet and its retransmissions.
-const allTransmissions = 1<<(reassignRetransmission+1) - 1
+// firstTransmission is the bit of the opening packet itself, and allTransmissions has those
+// of the opening packet and its retransmissions.
+const (
+	firstTransmission = 1
+	allTransmissions  = 1<<(reassignRetransmission+1) - 1
+)
+
+// Timing of a caller's opening packets.
+const (
+	// retransmitAfter is when a caller first retransmits an opening packet.
+	retransmitAfter = 200 * time.Millisecond
+	// openingTimeout is when a caller gives up a flow that has not opened.
+	openingTimeout = 1400 * time.Millisecond
+)
+
+// transmissionBit returns the bit of an opening packet in the sets of transmissions.
+func transmissionBit(p *pollenpacket.Packet) uint8 {
+	return 1 << min(p.Acknowledged, reassignRetransmission)
+}
 
 // steerOpening decides what to do with an opening packet. A retransmission goes
 // to the same gate as the transmission before it, unless that transmission has
 // probably failed.
 func (b *Balancer) steerOpening(now time.Time, k key, r *route, p *pollenpacket.Packet, e flowEntry, known bool) Decision {
+	e.lastPacket = now
+	e.transmissions |= transmissionBit(p)
 	if known && p.Acknowledged < reassignRetransmission && b.usable(now, e.gate) {
-		e.lastPacket = now
 		b.flowCache[k] = e
 		return Decision{Verdict: VerdictPass, Gate: e.gate.address, Service: ServiceHash(e.gate.server.Service)}
 	}
@@ -52,29 +70,51 @@
 		return bufferOrDrop(p, pollenkernel.RefusalNotReady)
 	}
 	if g == nil {
-		return resetOrDrop(p, pollenkernel.RefusalNoMember)
+		return b.rejectOpening(now, p, &e, pollenkernel.RefusalNoMember)
 	}
 	load, age := g.load(), now.Sub(g.lastSeen)
 	g.sentOpenings++
-	b.cacheFlow(k, flowEntry{gate: g, lastPacket: now, declinedTransmissions: e.declinedTransmissions})
+	b.cacheFlow(k, flowEntry{
+		gate: g, lastPacket: e.lastPacket, transmissions: e.transmissions, declinedTransmissions: e.declinedTransmissions,
+	})
 	return Decision{
 		Verdict: VerdictPass, Gate: g.address, Service: ServiceHash(g.server.Service),
 		Placed: true, Load: load, LoadAge: age,
 	}
 }
 
+// openedElsewhere reports whether a later transmission of an opening packet that a gate
+// declined was received here and the flow is now at another gate, where it may be open.
+func openedElsewhere(e *flowEntry, p *pollenpacket.Packet, decliner *gate) bool {
+	return e.gate != nil && !e.gate.removed && e.gate != decliner && e.transmissions >= 2*transmissionBit(p)
+}
+
+// rejectOpening resets a flow that no gate accepts. It drops the packet instead once the
+// caller may have sent a retransmission, which may have opened the flow at a gate: also
+// through another balancer, and while the packet waited in the socket of a paused
+// process.
+func (b *Balancer) rejectOpening(now time.Time, p *pollenpacket.Packet, e *flowEntry, reason pollenkernel.Refusal) Decision {
+	retransmitted := (transmissionBit(p)|e.transmissions)&^firstTransmission != 0 || now.Sub(e.lastPacket) >= retransmitAfter
+	if retransmitted || b.paused(now) || now.Sub(b.steadySince) < openingTimeout {
+		return Decision{Verdict: VerdictDrop, Reason: reason}
+	}
+	return Decision{Verdict: VerdictReset, Reason: reason}
+}
+
 // handleAllBusy decides what to do with an opening packet that maxBusyHops
 // gates declined as busy. It is dropped, since the caller retransmits it. After
 // the last retransmission the flow is reset instead, so that the caller does not
 // wait for its own timeout. That requires that all transmissions were returned
 // to this balancer, since a server may have accepted one that was not.
-func (b *Balancer) handleAllBusy(now time.Time, k key, p *pollenpacket.Packet, cached flowEntry) Decision {
-	declinedTransmissions := cached.declinedTransmissions | 1<<min(p.Acknowledged, reassignRetransmission)
+func (b *Balancer) handleAllBusy(k key, p *pollenpacket.Packet, cached flowEntry) Decision {
+	declinedTransmissions := cached.declinedTransmissions | transmissionBit(p)
 	if declinedTransmissions == allTransmissions {
 		delete(b.flowCache, k)
 		return Decision{Verdict: VerdictReset, Reason: pollenkernel.RefusalNoSlots}
 	}
-	b.cacheFlow(k, flowEntry{lastPacket: now, declinedTransmissions: declinedTransmissions})
+	b.cacheFlow(k, flowEntry{
+		lastPacket: cached.lastPacket, transmissions: cached.transmissions, declinedTransmissions: declinedTransmissions,
+	})
 	return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalNoSlots}
 }
 
