Each search keeps its own list of gates

Callers: a flow whose gate was not known could be searched at the wrong gates and found only at its next retransmission.

Cause: Decision.Gates was backed by a buffer of the balancer, which another packet overwrites once the lock is released.

Evidence: TestConcurrentSearches, in which a packet arrives while the queries of another are sent, failed before this change: one gate was queried twice and one never. It passes now. The copy is one allocation in a search, which sends a datagram to each gate in it.

--- a/pollensteer/balancer.go
+++ b/pollensteer/balancer.go
@@ -48,8 +48,7 @@
 	Retry pollenkernel.Retry
 	// Gate is set for VerdictPass.
 	Gate netip.AddrPort
-	// Gates is set for VerdictSearch. It is valid until the next call of a method
-	// that returns a Decision.
+	// Gates is set for VerdictSearch.
 	Gates []netip.AddrPort
 	// Service is the ServiceHash of the service that is routed to. It is zero for
 	// packets of open flows, which stay at their gate.
@@ -122,8 +121,8 @@
 	budget          budget
 	// lostFlowsTaken is set once TakeLostFlows has collected the lost flows.
 	lostFlowsTaken bool
-	// gateBuffer backs Decision.Gates, and rankBuffer the result of the method
-	// rank.
+	// gateBuffer holds the gates that a search is about to query, and rankBuffer backs
+	// the result of the method rank.
 	gateBuffer []netip.AddrPort
 	rankBuffer rank
 }
--- a/pollensteer/search.go
+++ b/pollensteer/search.go
@@ -71,7 +71,7 @@
 	}
 	e.queriedAt = now
 	b.flowCache[k] = e
-	return Decision{Verdict: VerdictSearch, Reason: pollenkernel.RefusalUnknownFlow, Gates: b.gateBuffer}
+	return Decision{Verdict: VerdictSearch, Reason: pollenkernel.RefusalUnknownFlow, Gates: slices.Clone(b.gateBuffer)}
 }
 
 // listCandidates fills gateBuffer with the addresses of the gates that a search
