Call IDs identify the run of the process

Callers: none have reported it; seen by the review by reading. A balancer that restarts within the time of a call could take the late answer to a call of its earlier run for the answer to a new one, and acknowledge a change that was never decided.

Cause: the IDs of calls began at 1 in each run.

The upper half of the ID is now drawn at each start.

--- a/pollennode/balancer.go
+++ b/pollennode/balancer.go
@@ -63,7 +63,9 @@
 	// bootstrapHost is the control host that bootstraps a new system; it is invalid
 	// until the first seed has chosen it.
 	bootstrapHost netip.AddrPort
-	lastCallID    uint64
+	// lastCallID is the ID of the last call. The upper half identifies the run of the
+	// process, so that answers to calls of an earlier one match none.
+	lastCallID uint64
 	// gatesKnown is set once this process knows enough gates to serve callers, and
 	// unsure while it has not known for long whether it lacks some.
 	gatesKnown, unsure bool
@@ -84,7 +86,7 @@
 		base:  newBase(now, s, self, deps),
 		steer: pollensteer.New(pollensteer.Config{Domain: s.Domain, StartTime: now, Seed: deps.Seed, Policy: deps.Policy, LinkRate: s.LinkRate}),
 		calls: map[uint64]chan pollenlink.Answer{}, searchBuffer: map[pollenpacket.Flow]bufferedPacket{},
-		openingBuffer: map[pollenpacket.Flow]bufferedPacket{},
+		openingBuffer: map[pollenpacket.Flow]bufferedPacket{}, lastCallID: deps.Seed << 32,
 	}
 	if s.DataFolder != "" {
 		b.control = newControl(b, deps)
