A new balancer is told of silent gates before it resets flows

Cause: without relays an uptime of 2 s stood for knowledge of every gate. A new balancer hears nothing of a gate that is down, and was told only of those that live, although the others remember it for 10 s.

Why it works: a reset of a flow that cannot be found now rests on a list from a balancer that knows every gate, with the silent ones in it, and on each of these having answered or expired; not on a clock alone. Readiness is as before.

--- a/pollennode/balancer.go
+++ b/pollennode/balancer.go
@@ -137,7 +137,9 @@
 		return age >= noGateTimeout
 	}
 	quiet := now.Sub(b.lastNewGate) >= gateQuietPeriod || age >= noGateTimeout
-	return quiet && (b.restarted || b.table.Complete(now)) || age >= missingGateTimeout
+	// Where heartbeats are not relayed, each gate sends its own; a gate that is silent
+	// takes no new callers anyway.
+	return quiet && (b.restarted || !b.table.Relayed() || b.table.Complete(now)) || age >= missingGateTimeout
 }
 
 // Leader returns the address of the leading control host, or an invalid one if none
--- a/pollennode/heartbeat.go
+++ b/pollennode/heartbeat.go
@@ -86,7 +86,7 @@
 		own.Facts, own.Vouches = b.table.Snapshot(now, p)
 		own.Balancers = b.table.RelaysOf(p.Domain)
 	case p.Role == pollenpeer.RoleBalancer:
-		own.Gates = b.table.FreshGates(now)
+		own.Gates, own.Facts, own.Listed = b.table.ListGates(now)
 	}
 	b.sendHeartbeat(&own, p.Address)
 }
--- a/pollennode/tick.go
+++ b/pollennode/tick.go
@@ -58,6 +58,9 @@
 // how flows are searched. mu must be held.
 func (b *Balancer) updateRestarted(now time.Time) {
 	restarted := b.table.Restarted(now)
+	if restarted {
+		b.table.MarkRestarted()
+	}
 	b.steer.SetSystemRestarted(restarted)
 	if restarted != b.restarted {
 		b.restarted = restarted
--- a/pollenpeer/complete.go
+++ b/pollenpeer/complete.go
@@ -10,12 +10,14 @@
 
 // Complete reports whether this process knows every gate: in each failure domain, a
 // relay that knows all its gates must have vouched lately for exactly those that are
-// known here. Without relays it returns true.
+// known here. Without relays, a balancer that knows every gate must have listed them.
 func (t *Table) Complete(now time.Time) bool {
-	var unknown []pollendocument.DomainName
-	if t.relayed {
-		unknown = t.UnknownDomains(now)
+	if !t.relayed {
+		t.unknownSince = since(now, t.unknownSince, !t.listsAll())
+		t.incompleteSince = since(now, t.incompleteSince, !t.knowsList())
+		return t.listsAll()
 	}
+	unknown := t.UnknownDomains(now)
 	t.unknownSince = since(now, t.unknownSince, len(unknown) > 0)
 	t.incompleteSince = since(now, t.incompleteSince, t.contradicted(now, unknown))
 	return len(unknown) == 0
--- a/pollenpeer/fact.go
+++ b/pollenpeer/fact.go
@@ -36,6 +36,7 @@
 			continue
 		case known == nil:
 			delete(t.candidates, f.Peer.Address)
+			delete(t.awaited, f.Peer.Address)
 			known = &Entry{Peer: f.Peer}
 			t.peers[f.Peer.Address] = known
 		case known.Peer.Incarnation == f.Peer.Incarnation && f.Peer.Sequence <= known.Peer.Sequence:
@@ -81,7 +82,7 @@
 	if e == nil || now.Sub(e.snapshotAt) < snapshotInterval {
 		return false
 	}
-	if relay, _ := t.IsRelay(e.Peer.Domain); !relay {
+	if relay, _ := t.IsRelay(e.Peer.Domain); t.relayed && !relay || !t.relayed && !t.knowsList() {
 		return false
 	}
 	e.snapshotAt = now
--- a/pollenpeer/peer.go
+++ b/pollenpeer/peer.go
@@ -109,15 +109,19 @@
 	// sender, or the relays of the receiver's failure domain.
 	Balancers []netip.AddrPort
 	// Gates lists the gates that recently sent a heartbeat to the sender. It is set
-	// only in the reply to a new balancer.
-	Gates []netip.AddrPort
+	// only in the reply to a new balancer, where heartbeats are not relayed. Facts then
+	// holds the other gates that the sender knows, and Listed is set if these are all
+	// gates of the system.
+	Gates  []netip.AddrPort
+	Listed bool
 	// KnownBalancers is the number of balancers that the sender knows, itself not
 	// included; zero if the sender is a gate.
 	KnownBalancers int
 	// Relayed is set if the sender sends its heartbeats to relays only, and Report if
 	// this one is sent to the receiver as a relay of the sender.
 	Relayed, Report bool
-	// Incomplete is set if the sender lacks gates that a relay vouches for.
+	// Incomplete is set if the sender lacks gates that a relay vouches for, or a list
+	// of the gates.
 	Incomplete bool
 	// Unheard lists balancers that the sender expects heartbeats from and receives
 	// none.
--- a/pollenpeer/table.go
+++ b/pollenpeer/table.go
@@ -56,6 +56,15 @@
 	// newCandidates is set when a candidate was added.
 	newCandidates bool
 
+	// listed is set once another balancer that knows every gate has listed them to this
+	// process, and awaited holds the listed gates that are not known yet, with the time
+	// until which they count.
+	listed  bool
+	awaited map[netip.AddrPort]time.Time
+
+	// restarted is set once the whole system was seen to have just started.
+	restarted bool
+
 	// relayed is set while heartbeats are sent to relays only. The fields below are
 	// used only then.
 	relayed bool
@@ -93,7 +102,7 @@
 		serving: map[pollendocument.DomainName]relayedDomain{},
 		nextDue: map[netip.AddrPort]time.Time{}, relays: map[pollendocument.DomainName][]netip.AddrPort{},
 		reportedSince: map[netip.AddrPort]time.Time{}, silentRelays: map[netip.AddrPort]time.Time{},
-		vouches: map[vouchKey]heldVouch{}, gone: map[netip.AddrPort]tombstone{},
+		vouches: map[vouchKey]heldVouch{}, gone: map[netip.AddrPort]tombstone{}, awaited: map[netip.AddrPort]time.Time{},
 	}
 	t.SetSeeds(seeds)
 	return t
@@ -135,8 +144,13 @@
 	}
 	for _, a := range heartbeat.Gates {
 		t.addCandidate(now, a)
+		if t.peers[a] == nil && a != t.self.Address {
+			t.awaited[a] = now.Add(PeerTimeout)
+		}
 	}
+	t.listed = t.listed || heartbeat.Listed
 	delete(t.candidates, heartbeat.Peer.Address)
+	delete(t.awaited, heartbeat.Peer.Address)
 	delete(t.gone, heartbeat.Peer.Address)
 	known, ok := t.peers[heartbeat.Peer.Address]
 	if !ok {
@@ -231,6 +245,11 @@
 			delete(t.gone, a)
 		}
 	}
+	for a, until := range t.awaited {
+		if !now.Before(until) {
+			delete(t.awaited, a)
+		}
+	}
 	for a, until := range t.silentRelays {
 		if !now.Before(until) {
 			delete(t.silentRelays, a)
@@ -284,22 +303,6 @@
 	t.updateRelayed()
 }
 
-// maxGates bounds the gates in the reply to a new balancer.
-const maxGates = 96
-
-// FreshGates returns the sorted addresses of the gates whose last heartbeat is
-// younger than FreshAge, up to maxGates.
-func (t *Table) FreshGates(now time.Time) []netip.AddrPort {
-	var gates []netip.AddrPort
-	for a, e := range t.peers {
-		if e.Peer.Role == RoleGate && now.Sub(e.LastSeen) < FreshAge {
-			gates = append(gates, a)
-		}
-	}
-	slices.SortFunc(gates, netip.AddrPort.Compare)
-	return gates[:min(len(gates), maxGates)]
-}
-
 // Get returns the entry of the peer at the address, and false if it is unknown.
 func (t *Table) Get(a netip.AddrPort) (Entry, bool) {
 	e, ok := t.peers[a]
--- a/pollenwire/peer.go
+++ b/pollenwire/peer.go
@@ -28,6 +28,7 @@
 	node(c, &h.BootstrapHost)
 	list(c, &h.Balancers, node)
 	list(c, &h.Gates, node)
+	boolean(c, &h.Listed)
 	signed(c, &h.KnownBalancers)
 	boolean(c, &h.Relayed)
 	boolean(c, &h.Report)
