--- a/pollencontrol/repair_test.go
+++ b/pollencontrol/repair_test.go
@@ -86,17 +86,12 @@
 				others = append(others, h)
 			}
 		}
-		loseDisk := func(h *host) {
-			h.disk = pollenlog.StoredState{}
-			h.id += 1000
-			c.start(h)
-		}
 		// The disk is lost again at some time of the repair, which takes two seconds.
-		loseDisk(others[0])
+		c.loseDisk(others[0])
 		c.run(time.Duration(rapid.IntRange(0, 30).Draw(t, "ticks between the losses")) * 5 * tick)
-		loseDisk(others[0])
+		c.loseDisk(others[0])
 		c.run(4 * time.Second)
-		loseDisk(others[1])
+		c.loseDisk(others[1])
 		c.run(6 * time.Second)
 		l = c.leader()
 		if l == nil {
