Routes of the kind upload are valid

Cause: the kinds of routes stood as closed lists in the check of a declaration and in the plan format, so that a document with a route of the kind "upload" was refused as a whole and no request of that deployment was served (400: route has the unknown kind "upload"). Change: RouteUpload, one list RouteKinds and the method Repeatable, which the emulator uses to decide on retries and counted runs.

--- a/pollendocument/declaration.go
+++ b/pollendocument/declaration.go
@@ -21,8 +21,16 @@
 	RouteUnsafe RouteKind = "unsafe"
 	// RouteDownload is for repeatable requests with large answers.
 	RouteDownload RouteKind = "download"
+	// RouteUpload is for requests with large bodies that may run at most once.
+	RouteUpload RouteKind = "upload"
 )
 
+// RouteKinds returns all kinds of routes.
+func RouteKinds() []RouteKind { return []RouteKind{RouteSafe, RouteUnsafe, RouteDownload, RouteUpload} }
+
+// Repeatable reports whether a request of the kind may run more than once.
+func (k RouteKind) Repeatable() bool { return k == RouteSafe || k == RouteDownload }
+
 // A Share is the proportion of a route's new flows that one service receives.
 type Share struct {
 	Service ServiceName
@@ -125,7 +133,7 @@
 		return errors.Wrapf(ErrInvalid, "route %q has the timeout %s, which is not positive", r.Name, r.Timeout)
 	case len(r.Shares) == 0:
 		return errors.Wrapf(ErrInvalid, "route %q lists no service", r.Name)
-	case !slices.Contains([]RouteKind{RouteSafe, RouteUnsafe, RouteDownload}, r.Kind):
+	case !slices.Contains(RouteKinds(), r.Kind):
 		return errors.Wrapf(ErrInvalid, "route %q has the unknown kind %q", r.Name, r.Kind)
 	}
 	rest := maxRouteWeight
--- a/pollenemulator/caller.go
+++ b/pollenemulator/caller.go
@@ -213,8 +213,8 @@
 		}
 		return
 	}
-	// The backend server has shed the request without running it, so a request of
-	// an unsafe route may be retried too.
+	// The backend server has shed the request without running it, so a request that
+	// may run at most once may be retried too.
 	f.close()
 	f.c.flow = nil
 	w.after(retryDelay, f.c.retry)
@@ -222,7 +222,7 @@
 
 // fail closes the flow after a reset or a handshake timeout. The request is retried if
 // it cannot have run (the flow was never opened, or no request was sent on it), or if
-// its route is not unsafe, so that it may run twice. Otherwise the request fails.
+// its route is of a repeatable kind. Otherwise the request fails.
 func (f *flow) fail(neverOpened bool) {
 	if f.closed {
 		return
@@ -233,7 +233,7 @@
 	if c.done {
 		return
 	}
-	if neverOpened || !f.requestSent || c.r.Kind != pollendocument.RouteUnsafe {
+	if neverOpened || !f.requestSent || c.r.Kind.Repeatable() {
 		c.r.w.after(retryDelay, c.retry)
 		return
 	}
--- a/pollenemulator/measure.go
+++ b/pollenemulator/measure.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"pollenstep.example/pollenstep/pollendocument"
 	"pollenstep.example/pollenstep/pollenpacket"
 )
 
@@ -45,10 +44,10 @@
 	messages        int
 	// windows is keyed by the number of the span in which a request started.
 	windows map[int]*window
-	// unsafeRuns counts the runs of each request of an unsafe route, and
-	// unsafeRoutes holds the routes of these requests; both by request ID.
-	unsafeRuns            map[uint64]int
-	unsafeRoutes          map[uint64]*route
+	// onceRuns counts the runs of each request that may run at most once, and
+	// onceRoutes holds the routes of these requests; both by request ID.
+	onceRuns              map[uint64]int
+	onceRoutes            map[uint64]*route
 	broken                int
 	misrouted             int
 	openedAfterDrain      int
@@ -63,7 +62,7 @@
 type window struct{ started, withinObjective int }
 
 func newMeasurements(w *world) *measurements {
-	return &measurements{w: w, windows: map[int]*window{}, unsafeRuns: map[uint64]int{}, unsafeRoutes: map[uint64]*route{}}
+	return &measurements{w: w, windows: map[int]*window{}, onceRuns: map[uint64]int{}, onceRoutes: map[uint64]*route{}}
 }
 
 // coolDown is the time before the end of a run in which no request is started, so
@@ -88,8 +87,8 @@
 	m.lastRequestID++
 	m.started++
 	m.window(m.w.now).started++
-	if r.Kind == pollendocument.RouteUnsafe {
-		m.unsafeRoutes[m.lastRequestID] = r
+	if !r.Kind.Repeatable() {
+		m.onceRoutes[m.lastRequestID] = r
 	}
 	return m.lastRequestID
 }
@@ -127,8 +126,8 @@
 // countRun counts a request that a backend server runs.
 func (m *measurements) countRun(s *server, id uint64) {
 	s.runs++
-	if m.unsafeRoutes[id] != nil {
-		m.unsafeRuns[id]++
+	if m.onceRoutes[id] != nil {
+		m.onceRuns[id]++
 	}
 }
 
@@ -197,7 +196,7 @@
 	for _, v := range m.windows {
 		r.Figures[MeasureMinServed] = min(r.Figures[MeasureMinServed], ratio(v.withinObjective, v.started))
 	}
-	for _, n := range m.unsafeRuns {
+	for _, n := range m.onceRuns {
 		if n > 1 {
 			r.Figures[MeasureDuplicateRuns]++
 		}
--- a/pollenemulator/plan.go
+++ b/pollenemulator/plan.go
@@ -311,7 +311,7 @@
 	r := Route{Interval: time.Second, Kind: pollendocument.RouteSafe}
 	pollenyaml.Required(m, "route", &r.Name, pollenyaml.Text(thousand))
 	pollenyaml.Required(m, "service", &r.Service, pollenyaml.Name[pollendocument.ServiceName]())
-	pollenyaml.Optional(m, "kind", &r.Kind, pollenyaml.Enum(pollendocument.RouteSafe, pollendocument.RouteUnsafe, pollendocument.RouteDownload))
+	pollenyaml.Optional(m, "kind", &r.Kind, pollenyaml.Enum(pollendocument.RouteKinds()...))
 	pollenyaml.Optional(m, "flows", &r.Flows, pollenyaml.Integer(0, maxCount))
 	pollenyaml.Optional(m, "interval", &r.Interval, pollenyaml.Duration(time.Millisecond, time.Minute))
 	pollenyaml.Optional(m, "rate", &r.Rate, pollenyaml.Integer(0, maxCount))
