Heartbeats of gates state the request time and the admitted priorities

Cause: balancers know how much work a gate has, but neither how long a request takes there nor which priorities it admits, so servers of unequal speed look equal and refused flows ask several gates in turn. Result: tests of pollenwire, pollenpeer and pollengate pass; nothing decides by the new fields yet.

--- a/pollengate/measure.go
+++ b/pollengate/measure.go
@@ -54,7 +54,11 @@
 }
 
 // A meanDuration is the exponentially weighted mean of request times.
-type meanDuration struct{ value time.Duration }
+type meanDuration struct {
+	value time.Duration
+	// measured is set once value includes a sample.
+	measured bool
+}
 
 // durationSamples sets the weight of one request in the mean: 1/durationSamples.
 const durationSamples = 16
@@ -64,6 +68,7 @@
 const maxSample = time.Second
 
 func (d *meanDuration) add(took time.Duration) {
+	d.measured = true
 	d.value += (min(took, maxSample) - d.value) / durationSamples
 }
 
--- a/pollengate/report.go
+++ b/pollengate/report.go
@@ -95,5 +95,8 @@
 	if cold {
 		s.ColdCapacity = g.coldCapacity(now)
 	}
+	if g.requestTime.measured {
+		s.RequestTime = g.requestTime.value
+	}
 	return s
 }
--- a/pollenkernel/reason.go
+++ b/pollenkernel/reason.go
@@ -34,6 +34,15 @@
 	// RefusalServerSilent means that the backend server does not answer or has
 	// stopped reporting.
 	RefusalServerSilent Refusal = "server-silent"
+	// RefusalLinkFull means that the link of the balancer cannot carry the flow within
+	// the objective of its route.
+	RefusalLinkFull Refusal = "link-full"
+	// RefusalPriority means that the backend servers take only flows of a more urgent
+	// priority at present.
+	RefusalPriority Refusal = "priority"
+	// RefusalShare means that the caller uses more than its fair share of a resource
+	// that is in demand.
+	RefusalShare Refusal = "share"
 )
 
 // RefusalNone is the reason of everything that was not refused. It has no
@@ -77,6 +86,7 @@
 		RefusalNotReady, RefusalNoRoute, RefusalServerSilent, RefusalNoSlots, RefusalQueueFull, RefusalDeadline, RefusalDraining,
 		RefusalCancelled, RefusalRetryBudget, RefusalClaimHeld, RefusalClaimUnknown,
 		RefusalNoQuorum, RefusalNotLeader, RefusalStaleView, RefusalBackendFailed, RefusalTooLarge,
+		RefusalLinkFull, RefusalPriority, RefusalShare,
 	}
 }
 
--- a/pollenlink/frame.go
+++ b/pollenlink/frame.go
@@ -128,6 +128,7 @@
 	pollenkernel.RefusalNoRoute, pollenkernel.RefusalDraining, pollenkernel.RefusalDomainOut,
 	pollenkernel.RefusalColdLimit, pollenkernel.RefusalServerSilent, pollenkernel.RefusalNotReady,
 	pollenkernel.RefusalNoSlots, pollenkernel.RefusalConnectionLimit, pollenkernel.RefusalBackendFailed,
+	pollenkernel.RefusalPriority,
 }
 
 func reasonCode(reason pollenkernel.Refusal) byte {
--- a/pollenpeer/peer.go
+++ b/pollenpeer/peer.go
@@ -90,6 +90,12 @@
 	Failing bool
 	// Flows is the number of its open flows.
 	Flows int
+	// RequestTime is the mean time of a request without its wait for a slot; zero means
+	// that it is not known.
+	RequestTime time.Duration
+	// AdmitBelow bounds the priorities of the new flows that the gate admits: those whose
+	// number is below it. Zero means that it admits every priority.
+	AdmitBelow int
 }
 
 // A Heartbeat is sent once per interval, and immediately when the sender's state
--- a/pollenwire/peer.go
+++ b/pollenwire/peer.go
@@ -147,6 +147,16 @@
 	signed(c, &p.Server.Running)
 	tenths(c, &p.Server.AverageRunning)
 	signed(c, &p.Server.Flows)
+	tenthsOfMillisecond(c, &p.Server.RequestTime)
+	signed(c, &p.Server.AdmitBelow)
+}
+
+// tenthsOfMillisecond encodes a duration rounded down to tenths of a millisecond.
+func tenthsOfMillisecond(c *Codec, v *time.Duration) {
+	const unit = time.Millisecond / 10
+	n := int64(*v / unit)
+	signed(c, &n)
+	*v = time.Duration(n) * unit
 }
 
 // node encodes the address of a node, which is an IPv4 address, as a number without
--- a/pollenwire/wire_test.go
+++ b/pollenwire/wire_test.go
@@ -66,7 +66,7 @@
 		Address: caller, Role: pollenpeer.RoleGate, Domain: "b", Incarnation: 9, Sequence: 70_000, Revision: 4, Leaving: true,
 		Uptime: time.Minute, Server: pollenpeer.Server{
 			Service: "rings", State: pollenpeer.ServerDraining, Slots: 2, Cold: true, Starting: true, ColdCapacity: -1,
-			Running: 3, AverageRunning: 1.5, Failing: true, Flows: 300,
+			Running: 3, AverageRunning: 1.5, Failing: true, Flows: 300, RequestTime: 12_300 * time.Microsecond, AdmitBelow: 2,
 		},
 	}
 	roundTrip(t, &pollenpeer.Heartbeat{
