Gates reset the flows that their restarted backend server has lost

A backend server that restarts holds none of its previous flows, and its gate only forgot them. The caller of an idle flow then learned of the loss by its next request, which fails if it must not be repeated.

When a report shows a new incarnation, the gate now resets the flows of the previous one. Only flows are reset for which a packet was delivered that acknowledges this server's stream: an opening packet may have reached several gates, and the flow may be open at another one. Counter flow-lost, and one log line with the number of flows and both incarnations.

--- a/pollengate/flow.go
+++ b/pollengate/flow.go
@@ -37,6 +37,10 @@
 	// callerDone and serverDone are set once the respective end has closed its
 	// stream.
 	callerDone, serverDone bool
+	// confirmed is set once the flow is known to be open at this gate's backend
+	// server: the gate has delivered a packet of the caller that acknowledges the
+	// server's stream. An opening packet alone may have reached several gates.
+	confirmed bool
 }
 
 // matches reports whether a caller's packet can belong to the flow that the
--- a/pollengate/gate.go
+++ b/pollengate/gate.go
@@ -127,6 +127,8 @@
 	// probes holds the flows that this gate does not track and for which a packet
 	// was delivered to find out whether the backend server holds them.
 	probes map[pollenpacket.Flow]probe
+	// lost holds the flows that TakeLostFlows returns next.
+	lost LostFlows
 }
 
 // New returns a new Gate that started at now.
@@ -192,6 +194,7 @@
 		g.probes[p.Flow] = probe{balancer: from, sentAt: now}
 		return d
 	}
+	f.confirm(p)
 	g.trackCaller(now, f, p)
 	d.Held = h.Kind == pollenlink.KindSearch
 	return d
--- a/pollengate/report.go
+++ b/pollengate/report.go
@@ -35,6 +35,7 @@
 	}
 	if r.Incarnation != g.report.Incarnation && !g.lastReport.IsZero() {
 		// The new incarnation holds no flow of the previous one.
+		g.loseFlows(r)
 		clear(g.flows)
 		g.running = 0
 		g.meanRunning.set(now, 0)
--- a/pollenmetric/set.go
+++ b/pollenmetric/set.go
@@ -31,6 +31,9 @@
 	EventFlowOpened   Event = "flow-opened"
 	EventFlowClosed   Event = "flow-closed"
 	EventFlowRestored Event = "flow-restored"
+	// EventFlowLost counts the flows that a gate resets because its backend server has
+	// restarted and no longer holds them.
+	EventFlowLost Event = "flow-lost"
 	// EventFlowAbandoned counts the flows that an agent closes because its failure
 	// domain is evacuated or its service is no longer declared.
 	EventFlowAbandoned          Event = "flow-given-up"
@@ -63,7 +66,7 @@
 func Events() []Event {
 	return []Event{
 		EventPacketIn, EventPacketOut, EventAnswerIn, EventAnswerOut, EventFlowOpened,
-		EventFlowClosed, EventFlowRestored, EventFlowAbandoned, EventRequest, EventRequestDone,
+		EventFlowClosed, EventFlowRestored, EventFlowLost, EventFlowAbandoned, EventRequest, EventRequestDone,
 		EventClaimGranted, EventAnswerRepeated, EventViewChanged, EventStartedWithoutMajority, EventLeaderElected,
 		EventExpiredLeasesHeld, EventUndecodableEntry, EventSendFailed, EventMessageIncomplete, EventBackendCold, EventLedgerSynced,
 		EventLedgerRetentionElapsed,
--- a/pollennode/gate.go
+++ b/pollennode/gate.go
@@ -64,6 +64,12 @@
 // when HandleReport returns. It returns false if the report is out of date or
 // names another service, and then ignores it.
 func (g *Gate) HandleReport(now time.Time, r pollengate.Report) bool {
+	accepted, lost := g.handleReport(now, r)
+	g.resetLostFlows(&lost)
+	return accepted
+}
+
+func (g *Gate) handleReport(now time.Time, r pollengate.Report) (accepted bool, lost pollengate.LostFlows) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	before := g.gate.Server(now)
@@ -71,7 +77,7 @@
 		g.log.Info("backend server report ignored", pollenrecord.Fields{
 			"server": r.Name, "service": r.Service, "sequence": r.Sequence, "born": r.Incarnation,
 		})
-		return false
+		return false, lost
 	}
 	if after := g.gate.Server(now); after.State != before.State || after.Cold != before.Cold {
 		g.log.Info("backend server state changed", pollenrecord.Fields{
@@ -80,7 +86,7 @@
 		})
 	}
 	g.broadcastHeartbeat(now)
-	return true
+	return true, g.gate.TakeLostFlows(now)
 }
 
 // Deregister handles the deregistration of the backend server called name, which
