Gates that cannot rule a flow out are sent its packet once per search

An open flow was broken (its packets reached other servers, and none its own, for more than 2 s): queries to the gate holding it were lost on a full link, while gates that had just started on new hosts answered that they need the packet and were sent it at once, again at each retransmission.

The balancer now remembers such gates in the flow's entry. They are sent the packet once all other gates within the scope have ruled the flow out, or after three rounds of queries in the wide scope without an answer, and then once. The rounds are repeated by the tick while gates wait, as the caller's retransmissions are up to 800 ms apart. A gate whose packet was lost is sent another only while all others rule the flow out.

--- a/pollennode/balancer.go
+++ b/pollennode/balancer.go
@@ -162,8 +162,16 @@
 	b.mu.Lock()
 	d := b.steer.Steer(now, &p)
 	revision := b.steer.Revision()
+	var probed []netip.AddrPort
+	if d.Verdict != pollensteer.VerdictPass {
+		probed = b.steer.TakeProbes(now, p.Flow)
+		if d.Verdict == pollensteer.VerdictDrop && !p.Opening() {
+			b.bufferSearched(now, &p, datagram)
+		}
+	}
 	b.mu.Unlock()
 	b.execute(now, &p, &d, pollenlink.Header{Revision: revision}, datagram)
+	b.sendProbes(probed, revision, datagram)
 }
 
 // HandlePacket implements pollenlink.Handler.
@@ -180,9 +188,11 @@
 	if h.Kind == pollenlink.KindNotFound {
 		b.mu.Lock()
 		d := b.steer.HandleNotFound(now, from, &p)
+		probed := b.steer.TakeProbes(now, p.Flow)
 		h.Revision = b.steer.Revision()
 		b.mu.Unlock()
 		b.execute(now, &p, &d, h, datagram)
+		b.sendProbes(probed, h.Revision, datagram)
 		return
 	}
 	if h.Reason != pollenkernel.RefusalNone {
--- a/pollennode/execute.go
+++ b/pollennode/execute.go
@@ -29,6 +29,10 @@
 	// searchBufferTime is longer than a search takes; after it the caller's own
 	// retransmission arrives.
 	searchBufferTime = 300 * time.Millisecond
+	// searchRefreshTime is the age from which a buffered packet is replaced by a later
+	// one of its flow: the caller's first retransmission comes after 200 ms. Earlier
+	// packets of the flow belong to the same window, of which the first is kept.
+	searchRefreshTime = 150 * time.Millisecond
 	// openingBufferTime is the longest time between two transmissions of an opening
 	// packet.
 	openingBufferTime = 400 * time.Millisecond
@@ -125,9 +129,7 @@
 	b.metrics.CountRetry(pollenkernel.RetryFlowSearch)
 	if !pollenlink.IsFlowOnly(datagram) {
 		b.mu.Lock()
-		if len(b.searchBuffer) < maxSearchBuffer {
-			b.searchBuffer[p.Flow] = bufferedPacket{datagram: slices.Clone(datagram), bufferedAt: now}
-		}
+		b.bufferSearched(now, p, datagram)
 		b.mu.Unlock()
 	}
 	h.Kind = pollenlink.KindQuery
@@ -152,26 +154,27 @@
 		delete(b.searchBuffer, f)
 	case pollenlink.KindNotFound:
 		d = b.steer.HandleFlowNotFound(now, from, &p)
+	case pollenlink.KindNeedsPacket:
+		b.steer.HandleNeedsPacket(now, from, f)
 	default:
 	}
+	var probed []netip.AddrPort
+	if found {
+		probed = b.steer.TakeProbes(now, f)
+	}
 	h.Revision = b.steer.Revision()
 	b.mu.Unlock()
 	packet := waiting.datagram
 	switch {
 	case h.Kind == pollenlink.KindNotFound:
 		b.execute(now, &p, &d, h, datagram)
-	case !found:
-	case h.Kind == pollenlink.KindHolder:
+	case found && h.Kind == pollenlink.KindHolder:
 		h.Kind = pollenlink.KindPass
 		h.Put(packet)
 		b.settings.Format.SetMark(packet[pollenlink.HeaderSize:], markOf(b.settings.Node))
 		b.transport.SendToNode(from, packet)
-	case h.Kind == pollenlink.KindNeedsPacket:
-		h.Kind = pollenlink.KindSearch
-		h.Put(packet)
-		b.settings.Format.SetMark(packet[pollenlink.HeaderSize:], 0)
-		b.transport.SendToNode(from, packet)
 	}
+	b.sendProbes(probed, h.Revision, packet)
 }
 
 // markOf returns the mark that identifies the balancer that passed a packet: its
--- a/pollennode/tick.go
+++ b/pollennode/tick.go
@@ -14,6 +14,11 @@
 // Tick runs the periodic work of the balancer. It must be called at every
 // TickInterval.
 func (b *Balancer) Tick(now time.Time) {
+	b.tick(now)
+	b.repeatSearches(now)
+}
+
+func (b *Balancer) tick(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.table.Self().Uptime = now.Sub(b.startTime)
--- a/pollensteer/balancer.go
+++ b/pollensteer/balancer.go
@@ -121,6 +121,9 @@
 	budget          budget
 	// lostFlowsTaken is set once TakeLostFlows has collected the lost flows.
 	lostFlowsTaken bool
+	// repeating holds the flows whose unanswered queries are repeated without a packet
+	// of their callers, at most maxRepeating.
+	repeating []key
 	// gateBuffer holds the gates that a search is about to query, and rankBuffer backs
 	// the result of the method rank.
 	gateBuffer []netip.AddrPort
@@ -141,8 +144,16 @@
 	acknowledged uint32
 	// scope is the scope of the search for the flow; empty before the search.
 	scope searchScope
-	// queriedAt is when the gates that are not in notFound were last queried.
+	// queriedAt is when the gates that are not in notFound were last queried. rounds
+	// is the number of times that this was done within the scope, up to maxRounds.
 	queriedAt time.Time
+	rounds    uint8
+	// repeating is set while the key of the flow is in Balancer.repeating.
+	repeating bool
+	// unsure holds the gates that need a packet of the flow, and is nil before the first
+	// such answer. A pointer keeps the entry below the 128 bytes up to which maps store
+	// their values inline.
+	unsure *unsureGates
 	// notFound lists the gates that reported that they do not hold the flow.
 	notFound []*gate
 	// transmissions has one bit for each transmission of the opening packet that was
@@ -303,7 +314,7 @@
 		return b.steerOpening(now, k, r, p, e, known)
 	}
 	if !known {
-		e.acknowledged = p.Acknowledged
+		e.acknowledged, e.lastPacket = p.Acknowledged, now
 		return b.search(now, k, r, e, urgent(p))
 	}
 	e.lastPacket = now
--- a/pollensteer/search.go
+++ b/pollensteer/search.go
@@ -43,6 +43,10 @@
 	return scopeAll
 }
 
+// narrow reports whether a search widens the scope when gates within it do not
+// answer, because the holder may be outside of it.
+func (s searchScope) narrow() bool { return s == scopeNear }
+
 // search returns the gates to query for the flow, or a reason not to query now.
 // It widens the scope if no gate within it is left to query, and finishes the
 // search if that is the widest one.
@@ -51,17 +55,17 @@
 	case e.scope == "":
 		e.scope = scopeNear
 	case now.Sub(e.queriedAt) < queryTimeout:
+		b.flowCache[k] = e
 		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalUnknownFlow}
-	case e.scope == scopeNear && !e.queriedAt.IsZero():
-		// Some gates did not answer, but the holder may be outside of this scope.
-		e.scope = scopeRoute
+	case e.scope.narrow() && e.rounds > 0:
+		e.widen()
 	}
 	b.listCandidates(now, k, r, &e)
 	for len(b.gateBuffer) == 0 && e.scope != scopeAll {
-		e.scope = e.scope.next()
+		e.widen()
 		b.listCandidates(now, k, r, &e)
 	}
-	e.gate, e.lastPacket = nil, now
+	e.gate = nil
 	b.cacheFlow(k, e)
 	if len(b.gateBuffer) == 0 {
 		return b.finishSearch(now, k, e)
@@ -70,10 +74,16 @@
 		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalSearchLimit}
 	}
 	e.queriedAt = now
+	if e.rounds < maxRounds {
+		e.rounds++
+	}
 	b.flowCache[k] = e
 	return Decision{Verdict: VerdictSearch, Reason: pollenkernel.RefusalUnknownFlow, Gates: slices.Clone(b.gateBuffer)}
 }
 
+// widen moves the search to the next scope.
+func (e *flowEntry) widen() { e.scope, e.rounds = e.scope.next(), 0 }
+
 // listCandidates fills gateBuffer with the addresses of the gates that a search
 // queries: those within its scope that may hold the flow and are not in
 // notFound.
@@ -177,7 +187,8 @@
 	e.notFound = append(slices.Clip(e.notFound), g)
 	b.flowCache[k] = e
 	if e.scope != scopeAll && b.notFoundInScope(now, k, r, &e) {
-		e.scope, e.queriedAt = e.scope.next(), time.Time{}
+		e.widen()
+		e.queriedAt = time.Time{}
 		if d := b.search(now, k, r, e, urgent(p)); d.Verdict == VerdictSearch {
 			return d
 		}
