--- a/pollensteer/balancer.go
+++ b/pollensteer/balancer.go
@@ -121,6 +121,9 @@
 	budget          budget
 	// lostFlowsTaken is set once TakeLostFlows has collected the lost flows.
 	lostFlowsTaken bool
+	// repeating holds the flows whose unanswered queries are repeated without a packet
+	// of their callers, at most maxRepeating.
+	repeating []key
 	// gateBuffer holds the gates that a search is about to query, and rankBuffer backs
 	// the result of the method rank.
 	gateBuffer []netip.AddrPort
@@ -143,12 +146,23 @@
 	scope searchScope
 	// queriedAt is when the gates that are not in notFound were last queried.
 	queriedAt time.Time
+	// unsure holds the gates that need a packet of the flow, and is nil before the first
+	// such answer. A pointer keeps the entry below the 128 bytes up to which maps store
+	// their values inline.
+	unsure *unsureGates
 	// notFound lists the gates that reported that they do not hold the flow.
 	notFound []*gate
 	// transmissions has one bit for each transmission of the opening packet that was
 	// received here, and declinedTransmissions for each that was declined by busy
 	// gates only.
 	transmissions, declinedTransmissions uint8
+	// rounds is the number of times that gates were queried within the scope, up to
+	// maxRounds.
+	rounds uint8
+	// urgent is set while the caller waits for the response to its last packet.
+	urgent bool
+	// repeating is set while the key of the flow is in Balancer.repeating.
+	repeating bool
 }
 
 // A route is a route of the view, with the sum of the weights of its shares and
@@ -303,8 +317,8 @@
 		return b.steerOpening(now, k, r, p, e, known)
 	}
 	if !known {
-		e.acknowledged = p.Acknowledged
-		return b.search(now, k, r, e, urgent(p))
+		e.acknowledged, e.lastPacket, e.urgent = p.Acknowledged, now, urgent(p)
+		return b.search(now, k, r, e, e.urgent)
 	}
 	e.lastPacket = now
 	b.flowCache[k] = e
