Decoding bounds the length of strings and bytes

The MessagePack decoder allocates what a length states before it reads: a message of 10 bytes made a node allocate 4 GB. Lengths are now compared with the input that remains, as those of lists were.

--- a/pollenwire/codec.go
+++ b/pollenwire/codec.go
@@ -93,9 +93,24 @@
 		c.fail(c.encoder.EncodeString(string(*v)))
 		return
 	}
-	s, err := c.decoder.DecodeString()
+	*v = T(c.bytes())
+}
+
+// bytes decodes a string or bytes. The length must not exceed the number of bytes that
+// remain: the decoder itself allocates up to 4 GB for a forged length.
+func (c *Codec) bytes() []byte {
+	n, err := c.decoder.DecodeBytesLen()
 	c.fail(err)
-	*v = T(s)
+	if c.err != nil || n <= 0 {
+		return nil
+	}
+	if n > c.rest.Len() {
+		c.fail(errors.Errorf("length %d exceeds the %d bytes that remain", n, c.rest.Len()))
+		return nil
+	}
+	b := make([]byte, n)
+	c.fail(c.decoder.ReadFull(b))
+	return b
 }
 
 func unsigned[T ~uint64 | ~uint32 | ~uint8](c *Codec, v *T) {
@@ -167,9 +182,7 @@
 		c.fail(c.encoder.EncodeBytes(b))
 		return
 	}
-	b, err := c.decoder.DecodeBytes()
-	c.fail(err)
-	if len(b) > 0 {
+	if b := c.bytes(); len(b) > 0 {
 		*v = b
 	}
 }
