Gates reset lost flows after a power loss from a checkpoint

When the host of a gate loses power, the gate forgets the flows together with its backend server. Gates now send checkpoints to two balancers with a disk, which keep them in memory and in a file of the data folder, written by an actor of its own. A gate that starts asks for its checkpoint: if its server has started again since, the flows are reset, and otherwise they are tracked again. A restored flow whose packets are far from its position, or that the server resets or returns, is handled like an unknown one.

--- a/pollengate/flow.go
+++ b/pollengate/flow.go
@@ -41,6 +41,9 @@
 	// server: the gate has delivered a packet of the caller that acknowledges the
 	// server's stream. An opening packet alone may have reached several gates.
 	confirmed bool
+	// restored is set while the flow is known only from a checkpoint. Its position is
+	// that of the checkpoint.
+	restored bool
 }
 
 // matches reports whether a caller's packet can belong to the flow that the
--- a/pollengate/gate.go
+++ b/pollengate/gate.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"time"
 
+	"pollenstep.example/pollenstep/pollencheckpoint"
 	"pollenstep.example/pollenstep/pollendocument"
 	"pollenstep.example/pollenstep/pollenkernel"
 	"pollenstep.example/pollenstep/pollenlink"
@@ -129,6 +130,10 @@
 	probes map[pollenpacket.Flow]probe
 	// lost holds the flows that TakeLostFlows returns next.
 	lost LostFlows
+	// checkpoint is the newest one that was passed to Restore, or nil. Its flows are nil
+	// once it was applied. restoredFlows counts the flows for TakeRestoredFlows.
+	checkpoint    *pollencheckpoint.Checkpoint
+	restoredFlows int
 }
 
 // New returns a new Gate that started at now.
@@ -174,7 +179,7 @@
 // HandleCallerPacket decides on a caller's packet that the balancer at from
 // passed with the header h.
 func (g *Gate) HandleCallerPacket(now time.Time, from netip.AddrPort, h *pollenlink.Header, p *pollenpacket.Packet) Decision {
-	f := g.flows[p.Flow]
+	f := g.lookup(now, p)
 	if p.Opening() {
 		return g.admit(now, h, p, f)
 	}
@@ -195,6 +200,7 @@
 		return d
 	}
 	f.confirm(p)
+	g.probeRestored(now, from, f, p)
 	g.trackCaller(now, f, p)
 	d.Held = h.Kind == pollenlink.KindSearch
 	return d
@@ -207,7 +213,7 @@
 		return g.handleReturned(now, p)
 	}
 	g.silence.received(now)
-	f := g.flows[p.Flow]
+	f := g.verifyRestored(now, p)
 	if f == nil && p.RST {
 		// The server does not hold the flow. Another server may, and the reset would
 		// end the flow there.
--- a/pollengate/report.go
+++ b/pollengate/report.go
@@ -50,6 +50,7 @@
 		g.firstReport = now
 	}
 	g.report, g.lastReport = r, now
+	g.applyCheckpoint(now)
 	g.coldUntil = now.Add(r.ColdRemaining)
 	g.silence.received(now)
 	return true
--- a/pollengate/search.go
+++ b/pollengate/search.go
@@ -43,8 +43,8 @@
 // otherwise VerdictNotFound, or VerdictNeedsPacket if the flow may be older than
 // the gate.
 func (g *Gate) Query(now time.Time, f pollenpacket.Flow, acknowledged uint32) Decision {
-	tracked := g.flows[f]
 	p := pollenpacket.Packet{Flow: f, ACK: true, Acknowledged: acknowledged}
+	tracked := g.lookup(now, &p)
 	switch {
 	case tracked != nil && tracked.matches(&p):
 		return Decision{Verdict: VerdictDrop, Held: true}
--- a/pollenlink/frame.go
+++ b/pollenlink/frame.go
@@ -45,12 +45,17 @@
 	KindAnswer Kind = "answer"
 	// KindReceived acknowledges fragments of a message.
 	KindReceived Kind = "received"
+	// KindCheckpoint carries the pollencheckpoint.Checkpoint of a gate to a balancer that
+	// keeps it. KindRestore asks for it, and KindRestored carries it back.
+	KindCheckpoint Kind = "checkpoint"
+	KindRestore    Kind = "restore"
+	KindRestored   Kind = "restored"
 )
 
 // kinds lists the kinds by their codes on the wire, which start at 1.
 var kinds = [...]Kind{
 	KindPass, KindSearch, KindDeclined, KindHolder, KindHeartbeat, KindUpdate, KindLog, KindJoin, KindCall, KindAnswer,
-	KindNotFound, KindQuery, KindNeedsPacket, KindReceived,
+	KindNotFound, KindQuery, KindNeedsPacket, KindReceived, KindCheckpoint, KindRestore, KindRestored,
 }
 
 func (k Kind) code() byte {
--- a/pollennode/balancer.go
+++ b/pollennode/balancer.go
@@ -47,7 +47,9 @@
 // is set.
 type Balancer struct {
 	*base
+	// control and keeper are nil on a balancer without a data folder.
 	control *control
+	keeper  *keeper
 
 	// The fields below are guarded by base.mu.
 	steer      *pollensteer.Balancer
@@ -90,6 +92,7 @@
 	}
 	if s.DataFolder != "" {
 		b.control = newControl(b, deps)
+		b.keeper = newKeeper(b, deps)
 	}
 	return b
 }
@@ -233,6 +236,8 @@
 				answers <- a
 			}
 		}
+	case pollenlink.KindCheckpoint, pollenlink.KindRestore:
+		b.handleKeeperMessage(now, from, kind, message)
 	default:
 		b.countMalformed(now, from, len(message), string(kind))
 	}
@@ -242,11 +247,12 @@
 // ControlTickInterval is the interval at which TickControl must be called.
 const ControlTickInterval = controlTickInterval
 
-// TickControl runs the due work of this host's replica of the log. It does
-// nothing unless Dependencies.Synchronous is set.
+// TickControl runs the due work of this host's replica of the log and of its keeper of
+// checkpoints. It does nothing unless Dependencies.Synchronous is set.
 func (b *Balancer) TickControl(now time.Time) {
 	if b.control != nil && b.control.synchronous {
 		b.control.tick(now)
+		b.keeper.tickSynchronous(now)
 	}
 }
 
--- a/pollennode/gate.go
+++ b/pollennode/gate.go
@@ -27,7 +27,8 @@
 	// The fields below are guarded by base.mu.
 	gate *pollengate.Gate
 	// lastSent is the state of the backend server in the last heartbeat.
-	lastSent pollenpeer.Server
+	lastSent     pollenpeer.Server
+	checkpointer checkpointer
 }
 
 // NewGate returns a new Gate that started at now.
@@ -35,6 +36,8 @@
 	return &Gate{
 		base: newBase(now, s, pollenpeer.Peer{Role: pollenpeer.RoleGate}, deps),
 		gate: pollengate.New(now, pollengate.Config{Domain: s.Domain, Service: s.Service, Bounds: s.Bounds, FirstStart: s.FirstStart}),
+
+		checkpointer: newCheckpointer(now),
 	}
 }
 
@@ -85,6 +88,7 @@
 			"sequence": r.Sequence, "born": r.Incarnation, "slots": r.Slots,
 		})
 	}
+	g.logRestored()
 	g.broadcastHeartbeat(now)
 	return true, g.gate.TakeLostFlows(now)
 }
@@ -251,6 +255,10 @@
 			}
 			g.mu.Unlock()
 		}
+	case pollenlink.KindRestored:
+		if c, ok := decode(now, g.base, from, kind, message, pollenwire.MapCheckpoint); ok {
+			g.handleRestored(now, from, &c)
+		}
 	default:
 		g.countMalformed(now, from, len(message), string(kind))
 	}
@@ -265,6 +273,7 @@
 		g.log.Info("peer lost", peerFields(&p))
 	}
 	g.gate.Sweep(now)
+	g.tickCheckpoint(now)
 	s := g.gate.Server(now)
 	if s.Failing != g.lastSent.Failing {
 		g.log.Info("backend server failure state changed", pollenrecord.Fields{"failing": s.Failing, "running": s.Running, "flows": s.Flows})
--- a/pollennode/process.go
+++ b/pollennode/process.go
@@ -49,6 +49,7 @@
 	p.serve(b, b.HandleCallerPacket)
 	if b.control != nil {
 		p.AddActor("control", b.control.serve)
+		p.AddActor("checkpoints", b.ServeCheckpoints)
 	}
 	p.addTicker("beats", TickInterval, b.Tick)
 	p.stops = append(p.stops, func() {
--- a/pollenstore/folder.go
+++ b/pollenstore/folder.go
@@ -272,28 +272,9 @@
 	return errors.Wrap(f.files.SyncFolder(f.path), "sync data folder")
 }
 
-// replace atomically replaces a file: it writes and syncs a temporary file,
-// renames it and syncs the folder.
+// replace atomically replaces a file of the folder.
 func (f *Folder) replace(name string, data []byte) error {
-	file, err := f.files.Create(f.filePath(name + temporarySuffix))
-	if err != nil {
-		return errors.Wrapf(err, "create %s", name)
-	}
-	if _, err := file.Write(data); err != nil {
-		_ = file.Close()
-		return errors.Wrapf(err, "write %s", name)
-	}
-	if err := file.Sync(); err != nil {
-		_ = file.Close()
-		return errors.Wrapf(err, "sync %s", name)
-	}
-	if err := file.Close(); err != nil {
-		return errors.Wrapf(err, "close %s", name)
-	}
-	if err := f.files.Rename(f.filePath(name+temporarySuffix), f.filePath(name)); err != nil {
-		return errors.Wrapf(err, "rename %s", name)
-	}
-	return errors.Wrap(f.files.SyncFolder(f.path), "sync data folder")
+	return replaceFile(f.files, f.path, name, data)
 }
 
 // Close closes the log file.
