Check reports every error and warning of a document

Cause: a submission names only the first fault of the platform's document, nothing names entries that can never have an effect, and what a document changes for open flows is not shown before it is sent. Declaration.Faults, platform.InspectDocument and pollendocument.Inspect return all faults; Check, ReadDocument and Read return the same errors as before. Findings of check are written to standard output; errors of documents went to standard error.

--- a/cmd/pollenstep/main.go
+++ b/cmd/pollenstep/main.go
@@ -11,5 +11,6 @@
 )
 
 func main() {
-	os.Exit(pollencommand.Main(context.Background(), os.Args, os.Stdout, os.Stderr, platform.Command()))
+	os.Exit(pollencommand.Main(context.Background(), os.Args, os.Stdout, os.Stderr,
+		pollencommand.CheckCommand(platform.InspectDocument), platform.Command()))
 }
--- a/pollencommand/command.go
+++ b/pollencommand/command.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -42,9 +43,13 @@
 func inputError(err error) error { return &exitError{code: ExitInput, text: err.Error()} }
 
 // Main runs the command line with the extra commands added and returns the
-// exit code. Errors are printed to stderr.
+// exit code. An extra command replaces a built-in one of the same name. Errors are
+// printed to stderr.
 func Main(ctx context.Context, args []string, stdout, stderr io.Writer, extra ...*cli.Command) int {
 	root := newRoot(stdout, stderr)
+	for _, e := range extra {
+		root.Commands = slices.DeleteFunc(root.Commands, func(c *cli.Command) bool { return c.Name == e.Name })
+	}
 	root.Commands = append(root.Commands, extra...)
 	started := false
 	trackStart(root.Commands, &started)
@@ -101,7 +106,7 @@
 				&cli.BoolFlag{Name: "found", Usage: "bootstrap a new system on this host; used once, with an empty data folder"}),
 			roleCommand(pollensettings.RoleBalancer, "run a balancer, which forwards callers' packets to agents"),
 			roleCommand(pollensettings.RoleAgent, "run the agent of one backend server"),
-			keysCommand(), checkCommand(), submitCommand(), showCommand(), diffCommand(),
+			keysCommand(), CheckCommand(nil), submitCommand(), showCommand(), diffCommand(),
 			statusCommand(), repairCommand(), replayCommand(), emulateCommand(), versionCommand(),
 		},
 	}
--- a/pollencommand/document.go
+++ b/pollencommand/document.go
@@ -38,10 +38,19 @@
 	return pollenoperator.NewClient(settings.ControlHosts, ring), nil
 }
 
-func readDocument(c *cli.Command) (*pollendocument.Document, error) {
+// documentFile returns the only argument.
+func documentFile(c *cli.Command) (string, error) {
 	file := c.Args().First()
 	if file == "" || c.Args().Len() > 1 {
-		return nil, inputError(errors.New("one document file is needed"))
+		return "", inputError(errors.New("one document file is needed"))
+	}
+	return file, nil
+}
+
+func readDocument(c *cli.Command) (*pollendocument.Document, error) {
+	file, err := documentFile(c)
+	if err != nil {
+		return nil, err
 	}
 	text, err := os.ReadFile(file)
 	if err != nil {
@@ -54,25 +63,6 @@
 	return document, nil
 }
 
-func checkCommand() *cli.Command {
-	return &cli.Command{
-		Name: "check", Usage: "check a document without submitting it", ArgsUsage: "DOCUMENT",
-		Description: "Example: pollenstep check services.yaml",
-		Action: func(_ context.Context, c *cli.Command) error {
-			document, err := readDocument(c)
-			if err != nil {
-				return err
-			}
-			services := 0
-			for i := range document.Sections {
-				services += len(document.Sections[i].Services)
-			}
-			_, _ = fmt.Fprintf(c.Root().Writer, "ok: %d sections, %d services\n", len(document.Sections), services)
-			return nil
-		},
-	}
-}
-
 func submitCommand() *cli.Command {
 	return &cli.Command{
 		Name: "submit", Usage: "submit a document and wait until it is in force", ArgsUsage: "DOCUMENT",
--- a/pollencommand/output.go
+++ b/pollencommand/output.go
@@ -115,3 +115,40 @@
 	CurrentVersion uint64   `json:"now"`
 	Fields         []string `json:"fields"`
 }
+
+// checkView describes the result of a check.
+type checkView struct {
+	File     string        `json:"file"`
+	Errors   int           `json:"errors"`
+	Warnings int           `json:"warnings"`
+	Findings []findingView `json:"findings"`
+	// Changes is null if nothing was compared, and empty if nothing differs.
+	Changes []changeView `json:"changes"`
+}
+
+// findingView describes a finding. Line is missing if it is not known.
+type findingView struct {
+	Rule     string `json:"rule"`
+	Severity string `json:"severity"`
+	File     string `json:"file"`
+	Line     int    `json:"line,omitempty"`
+	Section  string `json:"section,omitempty"`
+	Entry    string `json:"entry,omitempty"`
+	Text     string `json:"text"`
+	Expected string `json:"expected,omitempty"`
+}
+
+// changeView describes an entry that differs.
+type changeView struct {
+	Section string            `json:"section"`
+	Entry   string            `json:"entry"`
+	Kind    string            `json:"kind"`
+	Fields  []fieldChangeView `json:"fields"`
+	Effect  string            `json:"effect"`
+}
+
+type fieldChangeView struct {
+	Field string `json:"field"`
+	Old   string `json:"old"`
+	New   string `json:"new"`
+}
--- a/pollendocument/declaration.go
+++ b/pollendocument/declaration.go
@@ -98,56 +98,8 @@
 // Check returns an error with the cause ErrInvalid for the first invalid or
 // contradictory value, or nil.
 func (d *Declaration) Check() error {
-	pools := make(map[ServiceName]bool, len(d.Pools))
-	for i, p := range d.Pools {
-		if p.Name == "" {
-			return errors.Wrapf(ErrInvalid, "the service at index %d has no name", i)
-		}
-		if pools[p.Name] {
-			return errors.Wrapf(ErrInvalid, "service %q is declared twice", p.Name)
-		}
-		if p.ColdRate > maxColdRate {
-			return errors.Wrapf(ErrInvalid, "service %q has the cold rate %g; at most %g is allowed", p.Name, p.ColdRate, float64(maxColdRate))
-		}
-		pools[p.Name] = true
-	}
-	addresses := make(map[netip.AddrPort]string, len(d.Routes))
-	for i := range d.Routes {
-		r := &d.Routes[i]
-		if err := r.check(pools); err != nil {
-			return err
-		}
-		if other, taken := addresses[r.Address]; taken {
-			return errors.Wrapf(ErrInvalid, "routes %q and %q share address %s", other, r.Name, r.Address)
-		}
-		addresses[r.Address] = r.Name
-	}
-	return nil
-}
-
-func (r *Route) check(pools map[ServiceName]bool) error {
-	switch {
-	case !r.Address.IsValid() || r.Address.Port() == 0:
-		return errors.Wrapf(ErrInvalid, "route %q has the invalid address %s", r.Name, r.Address)
-	case r.Timeout <= 0:
-		return errors.Wrapf(ErrInvalid, "route %q has the timeout %s, which is not positive", r.Name, r.Timeout)
-	case len(r.Shares) == 0:
-		return errors.Wrapf(ErrInvalid, "route %q lists no service", r.Name)
-	case !slices.Contains(RouteKinds(), r.Kind):
-		return errors.Wrapf(ErrInvalid, "route %q has the unknown kind %q", r.Name, r.Kind)
-	}
-	rest := maxRouteWeight
-	for _, s := range r.Shares {
-		if !pools[s.Service] {
-			return errors.Wrapf(ErrInvalid, "route %q refers to service %q, which is not declared", r.Name, s.Service)
-		}
-		if s.Weight <= 0 {
-			return errors.Wrapf(ErrInvalid, "route %q gives service %q the weight %d, which is not positive", r.Name, s.Service, s.Weight)
-		}
-		if s.Weight > rest {
-			return errors.Wrapf(ErrInvalid, "the weights of route %q exceed %d", r.Name, maxRouteWeight)
-		}
-		rest -= s.Weight
+	if faults := d.Faults(); len(faults) > 0 {
+		return faults[0].Err
 	}
 	return nil
 }
--- a/pollendocument/read.go
+++ b/pollendocument/read.go
@@ -36,27 +36,72 @@
 	defaultWarmUp         = 5 * time.Second
 )
 
-// Read parses and checks the text of a document. The error lists every problem
-// as "FILE:LINE: ...", one in each line; file is used only for this.
-func Read(file string, text []byte) (*Document, error) {
+// An Entry is a team, failure domain, service or backend server in the text of a
+// document.
+type Entry struct {
+	Team Team
+	// Field is "domains.NAME", "services.NAME" or "servers.NAME", and empty for the
+	// team itself. NAME is empty if it is invalid.
+	Field string
+	// Path is the field path in the text, such as "teams[0].services[1]".
+	Path string
+	// Line counts from 1.
+	Line int
+}
+
+// A Reading is the result of reading the text of a document.
+type Reading struct {
+	// Document lacks the values that could not be read. Its sections are in the
+	// order of the text.
+	Document Document
+	// Entries are in the order of the text.
+	Entries []Entry
+	// Values holds the problems of single values.
+	Values []pollenyaml.Problem
+	// Contradictions holds the results of Document.Check, and Conflicts the same as
+	// problems, by the same index.
+	Contradictions []ValidationError
+	Conflicts      []pollenyaml.Problem
+}
+
+// Inspect reads the text of a document as far as possible and returns it with all
+// problems; file is used only for these.
+func Inspect(file string, text []byte) *Reading {
+	r := &Reading{}
 	report := &pollenyaml.Report{File: file}
 	root := pollenyaml.Parse(report, text)
 	if root == nil {
-		return nil, report.Err()
+		r.Values = report.Problems
+		return r
 	}
-	d := &Document{}
 	format := 0
 	pollenyaml.Required(root, "format", &format, pollenyaml.Integer(FormatVersion, FormatVersion))
-	lines := map[string]int{}
-	readDomains(root, d)
-	root.List("teams", true, func(m *pollenyaml.Mapping) { readTeam(m, d, lines) })
+	r.readDomains(root)
+	root.List("teams", true, r.readTeam)
 	root.ReportUnknown("format", "version", "domains", "teams")
-	for _, c := range d.Check() {
+	r.Values = report.Problems
+	report.Problems = nil
+	lines := make(map[string]int, len(r.Entries))
+	for _, e := range r.Entries {
+		lines[string(e.Team)+"."+e.Field] = e.Line
+	}
+	r.Contradictions = r.Document.Check()
+	for _, c := range r.Contradictions {
 		report.Add(max(1, lines[string(c.Team)+"."+c.Field]), c.Field, c.Fault, "a document without contradictions")
 	}
+	r.Conflicts = report.Problems
+	return r
+}
+
+// Read parses and checks the text of a document. The error lists every problem
+// as "FILE:LINE: ...", one in each line; file is used only for this.
+func Read(file string, text []byte) (*Document, error) {
+	r := Inspect(file, text)
+	report := pollenyaml.Report{Problems: slices.Concat(r.Values, r.Conflicts)}
 	if err := report.Err(); err != nil {
 		return nil, err
 	}
+	d := &r.Document
 	slices.SortFunc(d.Sections, func(a, b Section) int {
 		if a.Team < b.Team {
 			return -1
@@ -66,7 +111,7 @@
 	return d, nil
 }
 
-func readDomains(root *pollenyaml.Mapping, d *Document) {
+func (r *Reading) readDomains(root *pollenyaml.Mapping) {
 	s := Section{Team: DomainsTeam}
 	pollenyaml.Optional(root, "version", &s.Version, pollenyaml.Integer[uint64](0, maxVersion))
 	seen := map[DomainName]bool{}
@@ -79,24 +124,29 @@
 			m.AddProblem("domain", string(v.Name), "each failure domain once")
 		}
 		seen[v.Name] = true
+		r.addEntry(DomainsTeam, "domains."+string(v.Name), m)
 		s.Domains = append(s.Domains, v)
 	})
 	s.Sort()
-	d.Sections = append(d.Sections, s)
+	r.Document.Sections = append(r.Document.Sections, s)
+}
+
+func (r *Reading) addEntry(team Team, field string, m *pollenyaml.Mapping) {
+	r.Entries = append(r.Entries, Entry{Team: team, Field: field, Path: m.Path(), Line: m.Line()})
 }
 
-// readTeam adds the section of one team to the document. It stores the line of
-// each service and server in lines, under the key TEAM.FIELD of a ValidationError.
-func readTeam(m *pollenyaml.Mapping, d *Document, lines map[string]int) {
+// readTeam adds the section of one team to the document.
+func (r *Reading) readTeam(m *pollenyaml.Mapping) {
 	s := Section{}
 	pollenyaml.Required(m, "team", &s.Team, pollenyaml.Name[Team]())
 	pollenyaml.Optional(m, "version", &s.Version, pollenyaml.Integer[uint64](0, maxVersion))
-	if s.Team == DomainsTeam || d.Section(s.Team) != nil {
+	if s.Team == DomainsTeam || r.Document.Section(s.Team) != nil {
 		m.AddProblem("team", string(s.Team), "each team once, and not "+strconv.Quote(string(DomainsTeam)))
 	}
+	r.addEntry(s.Team, "", m)
 	m.List("services", false, func(m *pollenyaml.Mapping) {
 		v := readService(m)
-		lines[string(s.Team)+".services."+string(v.Name)] = m.Line()
+		r.addEntry(s.Team, "services."+string(v.Name), m)
 		s.Services = append(s.Services, v)
 	})
 	m.List("servers", false, func(m *pollenyaml.Mapping) {
@@ -105,12 +155,12 @@
 		pollenyaml.Optional(m, "state", &v.State, pollenyaml.Enum(ServerActive, ServerDraining))
 		pollenyaml.Optional(m, "weight", &v.Weight, pollenyaml.Integer(1, maxWeight))
 		m.ReportUnknown("server", "state", "weight")
-		lines[string(s.Team)+".servers."+string(v.Name)] = m.Line()
+		r.addEntry(s.Team, "servers."+string(v.Name), m)
 		s.Servers = append(s.Servers, v)
 	})
 	m.ReportUnknown("team", "version", "services", "servers")
 	s.Sort()
-	d.Sections = append(d.Sections, s)
+	r.Document.Sections = append(r.Document.Sections, s)
 }
 
 func readService(m *pollenyaml.Mapping) Service {
--- a/pollenyaml/mapping.go
+++ b/pollenyaml/mapping.go
@@ -32,9 +32,12 @@
 
 // Error returns the problem on one line.
 func (p Problem) Error() string {
-	return fmt.Sprintf("%s:%d: field %q: value %q: allowed: %s", p.File, p.Line, p.Field, p.Value, p.Allowed)
+	return fmt.Sprintf("%s:%d: %s: allowed: %s", p.File, p.Line, p.Rejected(), p.Allowed)
 }
 
+// Rejected returns the field and the rejected value.
+func (p Problem) Rejected() string { return fmt.Sprintf("field %q: value %q", p.Field, p.Value) }
+
 // A Report collects the problems of one file.
 type Report struct {
 	File     string
@@ -149,6 +152,9 @@
 // Line returns the line on which the mapping starts.
 func (m *Mapping) Line() int { return m.line }
 
+// Path returns the field path of the mapping; it is empty for the whole file.
+func (m *Mapping) Path() string { return m.path }
+
 // AddProblem reports a problem with the named field, at the line of its value,
 // or at the line of the mapping when the field is missing.
 func (m *Mapping) AddProblem(name, value, allowed string) {
