Datagrams are queued by class on low-bandwidth links with uploads

Cause: a balancer with a link of 5.3 Mbit/s receives uploads faster than its link sends them on. What exceeds the rate is dropped by the link after 50 ms whatever it is: heartbeats, queries, opening packets, urgent requests. Change: package pollenegress with Queue (classes with minimum shares, deficit round robin over routes, head drop by delay and bytes) and Admission (new flows of upload routes that the link cannot carry within half of their objective are reset with the reason link-full, first transmissions only). pollenlink queues while the settings state a link of at most 10 Mbit/s and the document has an upload route; otherwise nothing changes. Counters by class and the log line "link pressure changed". docs/design/egress.md.

--- a/pollenlink/link.go
+++ b/pollenlink/link.go
@@ -7,9 +7,12 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"pollenstep.example/pollenstep/pollenegress"
 )
 
 // BufferSize is the size in bytes of a buffer for a header and the largest
@@ -24,16 +27,23 @@
 type Link struct {
 	conn *net.UDPConn
 
-	// mu guards lastMessageID, buffer, outbox, pacer, ticking and pacing.
+	// mu guards lastMessageID, buffer, outbox, pacer, queue, ticking, pacing and draining.
 	mu sync.Mutex
 	// lastMessageID starts at random.
 	lastMessageID uint32
 	buffer        []byte
 	outbox        *Outbox
 	pacer         *Pacer
-	// ticking is set while a tick of the outbox is scheduled, and pacing while one of
-	// the pacer is.
-	ticking, pacing bool
+	// ticking is set while a tick of the outbox is scheduled, pacing while one of the
+	// pacer is, and draining while one of the queue is.
+	ticking, pacing, draining bool
+	// rate is the rate of the host's link in bits per second; zero if it is not known.
+	rate float64
+	// queue is nil until the link is shaped for the first time, and shaped is set while it
+	// is. waiting is the number of bytes in the queue.
+	queue   *pollenegress.Queue
+	shaped  atomic.Bool
+	waiting atomic.Int64
 	// OnSendError is called for each datagram that could not be sent. It must be
 	// set before the first datagram is sent.
 	OnSendError func(to netip.AddrPort, err error)
@@ -68,8 +78,8 @@
 	}
 	return &Link{
 		// Receivers remember the IDs of an earlier run of the process.
-		lastMessageID: rand.Uint32(),
-		conn:          conn, buffer: make([]byte, BufferSize), outbox: NewOutbox(rate), pacer: NewPacer(rate), OnSendError: func(netip.AddrPort, error) {},
+		lastMessageID: rand.Uint32(), rate: rate,
+		conn: conn, buffer: make([]byte, BufferSize), outbox: NewOutbox(rate), pacer: NewPacer(rate), OnSendError: func(netip.AddrPort, error) {},
 	}, nil
 }
 
@@ -119,8 +129,13 @@
 }
 
 // SendPacket sends a datagram that starts with a header. It may be lost; errors
-// are passed to OnSendError.
+// are passed to OnSendError. While the link is shaped, the datagram is urgent.
 func (l *Link) SendPacket(to netip.AddrPort, datagram []byte) {
+	l.SendPacketAs(pollenegress.ClassUrgent, 0, to, datagram)
+}
+
+// write sends a datagram without regard to the queue.
+func (l *Link) write(to netip.AddrPort, datagram []byte) {
 	if _, err := l.conn.WriteToUDPAddrPort(datagram, to); err != nil {
 		l.OnSendError(to, err)
 	}
@@ -176,7 +191,10 @@
 		l.sendFragment(&due[i])
 	}
 	if !l.outbox.Empty() {
-		l.schedule(&l.ticking, outboxInterval, func(now time.Time) { l.sendFragments(l.outbox.Tick(now)) })
+		l.schedule(&l.ticking, outboxInterval, func(now time.Time) {
+			l.updateSendDelay()
+			l.sendFragments(l.outbox.Tick(now))
+		})
 	}
 }
 
@@ -207,7 +225,7 @@
 func (l *Link) sendPaced(f *Fragment) {
 	datagram := appendFragment(l.buffer[:0], f)
 	if l.pacer.Send(time.Now(), len(datagram)) {
-		l.SendPacket(f.To, datagram)
+		l.send(pollenegress.ClassUrgent, 0, f.To, datagram)
 		return
 	}
 	if !l.pacer.Wait(f.To, bytes.Clone(datagram)) {
@@ -220,7 +238,7 @@
 // sendWaiting sends the datagrams that the pacer allows now. mu must be held.
 func (l *Link) sendWaiting(now time.Time) {
 	for _, p := range l.pacer.Due(now) {
-		l.SendPacket(p.To, p.Datagram)
+		l.send(pollenegress.ClassUrgent, 0, p.To, p.Datagram)
 	}
 	if !l.pacer.Empty() {
 		l.schedule(&l.pacing, paceInterval, l.sendWaiting)
@@ -228,7 +246,9 @@
 }
 
 // sendFragment sends one fragment. mu must be held.
-func (l *Link) sendFragment(f *Fragment) { l.SendPacket(f.To, appendFragment(l.buffer[:0], f)) }
+func (l *Link) sendFragment(f *Fragment) {
+	l.send(pollenegress.ClassUpdate, 0, f.To, appendFragment(l.buffer[:0], f))
+}
 
 // Address returns the address that the link is bound to.
 func (l *Link) Address() netip.AddrPort {
--- a/pollenlink/outbox.go
+++ b/pollenlink/outbox.go
@@ -79,6 +79,9 @@
 	transfers []*transfer
 	turn      int
 	due       []Fragment
+	// sendDelay is the time that a fragment may wait on this host before it is sent. It is
+	// added to the timeouts of acknowledgements.
+	sendDelay time.Duration
 }
 
 // fragmentState is the state of one fragment of a transfer.
@@ -208,7 +211,7 @@
 func (o *Outbox) Tick(now time.Time) []Fragment {
 	for i := len(o.transfers) - 1; i >= 0; i-- {
 		t := o.transfers[i]
-		if t.inFlight == 0 || now.Sub(t.activeAt) < min(maxAckTimeout, ackTimeout<<t.timeouts) {
+		if t.inFlight == 0 || now.Sub(t.activeAt) < o.sendDelay+min(maxAckTimeout, ackTimeout<<t.timeouts) {
 			continue
 		}
 		t.timeouts++
--- a/pollenmetric/set.go
+++ b/pollenmetric/set.go
@@ -59,6 +59,19 @@
 	EventLedgerRetentionElapsed Event = "ledger-waited-retention"
 )
 
+// Events of the queue of a host's link, by class: datagrams that had to wait, and those of
+// them that were dropped.
+const (
+	EventQueuedUrgent  Event = "queued-urgent"
+	EventQueuedNormal  Event = "queued-normal"
+	EventQueuedBulk    Event = "queued-bulk"
+	EventQueuedUpdate  Event = "queued-update"
+	EventDroppedUrgent Event = "dropped-urgent"
+	EventDroppedNormal Event = "dropped-normal"
+	EventDroppedBulk   Event = "dropped-bulk"
+	EventDroppedUpdate Event = "dropped-update"
+)
+
 // Events returns every event.
 func Events() []Event {
 	return []Event{
@@ -66,7 +79,8 @@
 		EventFlowClosed, EventFlowRestored, EventFlowAbandoned, EventRequest, EventRequestDone,
 		EventClaimGranted, EventAnswerRepeated, EventViewChanged, EventStartedWithoutMajority, EventLeaderElected,
 		EventExpiredLeasesHeld, EventUndecodableEntry, EventSendFailed, EventMessageIncomplete, EventBackendCold, EventLedgerSynced,
-		EventLedgerRetentionElapsed,
+		EventLedgerRetentionElapsed, EventQueuedUrgent, EventQueuedNormal, EventQueuedBulk, EventQueuedUpdate,
+		EventDroppedUrgent, EventDroppedNormal, EventDroppedBulk, EventDroppedUpdate,
 	}
 }
 
--- a/pollennode/balancer.go
+++ b/pollennode/balancer.go
@@ -76,6 +76,7 @@
 	// openingBuffer holds the last opening packet of each flow that cannot be
 	// placed yet.
 	openingBuffer map[pollenpacket.Flow]bufferedPacket
+	shaper        linkShaper
 }
 
 // NewBalancer returns a new Balancer that started at now. It runs a replica of the
@@ -88,6 +89,7 @@
 		calls: map[uint64]chan pollenlink.Answer{}, searchBuffer: map[pollenpacket.Flow]bufferedPacket{},
 		openingBuffer: map[pollenpacket.Flow]bufferedPacket{}, lastCallID: deps.Seed << 32,
 	}
+	b.shaper.transport, _ = deps.Transport.(Shaper)
 	if s.DataFolder != "" {
 		b.control = newControl(b, deps)
 	}
@@ -160,6 +162,9 @@
 	}
 	b.metrics.CountEvent(pollenmetric.EventPacketIn, 1)
 	b.mu.Lock()
+	if p.Opening() {
+		b.updateQueued()
+	}
 	d := b.steer.Steer(now, &p)
 	revision := b.steer.Revision()
 	b.mu.Unlock()
@@ -287,6 +292,7 @@
 		return false
 	}
 	b.steer.SetView(b.view.View())
+	b.updateShaping()
 	var subscribers []netip.AddrPort
 	if _, first := b.table.IsRelay(b.settings.Domain); first {
 		for _, e := range b.table.Subscribers(now) {
--- a/pollennode/execute.go
+++ b/pollennode/execute.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"pollenstep.example/pollenstep/pollenegress"
 	"pollenstep.example/pollenstep/pollenkernel"
 	"pollenstep.example/pollenstep/pollenlink"
 	"pollenstep.example/pollenstep/pollenpacket"
@@ -63,7 +64,7 @@
 		h.Kind = pollenlink.KindPass
 		h.Put(datagram)
 		b.settings.Format.SetMark(datagram[pollenlink.HeaderSize:], markOf(b.settings.Node))
-		b.transport.SendToNode(d.Gate, datagram)
+		b.sendPacket(d.Class, d.Route, d.Gate, datagram)
 	case pollensteer.VerdictSearch:
 		b.sendQueries(now, p, d, h, datagram)
 	case pollensteer.VerdictReset:
@@ -155,8 +156,14 @@
 	default:
 	}
 	h.Revision = b.steer.Revision()
-	b.mu.Unlock()
 	packet := waiting.datagram
+	var class pollenegress.Class
+	var route pollenegress.Route
+	if found && (h.Kind == pollenlink.KindHolder || h.Kind == pollenlink.KindNeedsPacket) {
+		waited, _ := b.settings.Format.ParseFromCaller(packet[pollenlink.HeaderSize:])
+		class, route = b.steer.PassWaiting(now, &waited)
+	}
+	b.mu.Unlock()
 	switch {
 	case h.Kind == pollenlink.KindNotFound:
 		b.execute(now, &p, &d, h, datagram)
@@ -165,12 +172,12 @@
 		h.Kind = pollenlink.KindPass
 		h.Put(packet)
 		b.settings.Format.SetMark(packet[pollenlink.HeaderSize:], markOf(b.settings.Node))
-		b.transport.SendToNode(from, packet)
+		b.sendPacket(class, route, from, packet)
 	case h.Kind == pollenlink.KindNeedsPacket:
 		h.Kind = pollenlink.KindSearch
 		h.Put(packet)
 		b.settings.Format.SetMark(packet[pollenlink.HeaderSize:], 0)
-		b.transport.SendToNode(from, packet)
+		b.sendPacket(class, route, from, packet)
 	}
 }
 
--- a/pollennode/tick.go
+++ b/pollennode/tick.go
@@ -26,6 +26,7 @@
 		b.log.Info("peer lost", peerFields(&p))
 	}
 	b.steer.Sweep(now)
+	b.observeLink(now)
 	b.updateComplete(now)
 	b.updateRestarted(now)
 	for _, p := range b.steer.TakeLostFlows(now) {
--- a/pollennode/transport.go
+++ b/pollennode/transport.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"pollenstep.example/pollenstep/pollenegress"
 	"pollenstep.example/pollenstep/pollenlink"
 	"pollenstep.example/pollenstep/pollenmetric"
 )
@@ -24,7 +25,20 @@
 	SendToServer(packet []byte)
 }
 
-// sockets is the Transport of a process, over UDP.
+// A Shaper is a Transport that can queue what it sends to other nodes by class.
+type Shaper interface {
+	Transport
+	// SetShaping sets whether datagrams are queued.
+	SetShaping(on bool)
+	// SendToNodeAs is SendToNode for a datagram of the class and the route.
+	SendToNodeAs(class pollenegress.Class, route pollenegress.Route, to netip.AddrPort, datagram []byte)
+	// Waiting returns the number of bytes that are queued.
+	Waiting() int
+	// ShapingStats returns what the queue has done.
+	ShapingStats() pollenegress.Stats
+}
+
+// sockets is the Transport of a process, over UDP. It implements Shaper.
 type sockets struct {
 	metrics *pollenmetric.Set
 	link    *pollenlink.Link
@@ -55,6 +69,20 @@
 // SendToNode implements Transport.
 func (k *sockets) SendToNode(to netip.AddrPort, datagram []byte) { k.link.SendPacket(to, datagram) }
 
+// SetShaping implements Shaper.
+func (k *sockets) SetShaping(on bool) { k.link.SetShaping(on) }
+
+// SendToNodeAs implements Shaper.
+func (k *sockets) SendToNodeAs(class pollenegress.Class, route pollenegress.Route, to netip.AddrPort, datagram []byte) {
+	k.link.SendPacketAs(class, route, to, datagram)
+}
+
+// Waiting implements Shaper.
+func (k *sockets) Waiting() int { return k.link.Waiting() }
+
+// ShapingStats implements Shaper.
+func (k *sockets) ShapingStats() pollenegress.Stats { return k.link.ShapingStats() }
+
 // SendMessage implements Transport.
 func (k *sockets) SendMessage(kind pollenlink.Kind, message []byte, to ...netip.AddrPort) {
 	k.link.SendMessage(kind, message, to...)
--- a/pollensteer/balancer.go
+++ b/pollensteer/balancer.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"pollenstep.example/pollenstep/pollendocument"
+	"pollenstep.example/pollenstep/pollenegress"
 	"pollenstep.example/pollenstep/pollenkernel"
 	"pollenstep.example/pollenstep/pollenlink"
 	"pollenstep.example/pollenstep/pollenpacket"
@@ -59,6 +60,10 @@
 	Placed  bool
 	Load    float64
 	LoadAge time.Duration
+	// Class and Route are the class and the route of a packet that is passed, on a link
+	// that is shaped; Class is empty on any other.
+	Class pollenegress.Class
+	Route pollenegress.Route
 }
 
 // Limits of the flow cache.
@@ -125,6 +130,8 @@
 	// the result of the method rank.
 	gateBuffer []netip.AddrPort
 	rankBuffer rank
+	// admission decides on flows of upload routes; nil while the link is not shaped.
+	admission *pollenegress.Admission[key]
 }
 
 // A key is a flow as encoded by pollenlink.AppendFlow.
@@ -157,6 +164,7 @@
 	pollendocument.Route
 	weight int
 	hashes []uint32
+	shaping
 }
 
 // A gate is the state of a gate from its last heartbeat, updated by the packets
@@ -219,6 +227,7 @@
 		}
 		b.routes[r.Address] = rebuilt
 	}
+	b.setShaping(&v.Declared)
 }
 
 // Revision returns the revision of the view in use; zero before the first one.
@@ -308,7 +317,7 @@
 	}
 	e.lastPacket = now
 	b.flowCache[k] = e
-	return Decision{Verdict: VerdictPass, Gate: e.gate.address}
+	return b.pass(now, k, r, p, e.gate)
 }
 
 // HandleDeclined decides what to do with a packet that a gate declined and
@@ -325,7 +334,7 @@
 		if cached.gate != nil && !cached.gate.removed && cached.gate != decliner {
 			cached.lastPacket = now
 			b.flowCache[k] = cached
-			return Decision{Verdict: VerdictPass, Gate: cached.gate.address}
+			return b.pass(now, k, r, p, cached.gate)
 		}
 		return b.HandleNotFound(now, from, p)
 	}
@@ -340,12 +349,12 @@
 		return Decision{Verdict: VerdictDrop, Reason: h.Reason}
 	}
 	if h.Reason == pollenkernel.RefusalNoSlots && h.Hops >= maxBusyHops {
-		return b.handleAllBusy(k, p, cached)
+		return b.recordPlaced(now, k, r, b.handleAllBusy(k, p, cached))
 	}
 	if h.Hops >= maxHops {
-		return b.rejectOpening(now, p, &cached, pollenkernel.RefusalHopLimit)
+		return b.recordPlaced(now, k, r, b.rejectOpening(now, p, &cached, pollenkernel.RefusalHopLimit))
 	}
-	return b.place(now, k, r, p, cached, int(h.Hops), decliner)
+	return b.recordPlaced(now, k, r, b.place(now, k, r, p, cached, int(h.Hops), decliner))
 }
 
 // RecordHolder caches the gate that reported that it holds the flow. A report
--- a/pollensteer/open.go
+++ b/pollensteer/open.go
@@ -51,10 +51,15 @@
 	e.transmissions |= transmissionBit(p)
 	if known && p.Acknowledged < reassignRetransmission && b.usable(now, e.gate) {
 		b.flowCache[k] = e
-		return Decision{Verdict: VerdictPass, Gate: e.gate.address, Service: ServiceHash(e.gate.server.Service)}
+		d := b.pass(now, k, r, p, e.gate)
+		d.Service = ServiceHash(e.gate.server.Service)
+		return d
 	}
 	if !known {
-		return b.place(now, k, r, p, e, 0, nil)
+		if d, full := b.linkFull(now, r, p, &e); full {
+			return d
+		}
+		return b.recordPlaced(now, k, r, b.place(now, k, r, p, e, 0, nil))
 	}
 	d := b.place(now, k, r, p, e, 1, e.gate)
 	d.Retry = pollenkernel.RetryOpening
@@ -79,7 +84,7 @@
 	})
 	return Decision{
 		Verdict: VerdictPass, Gate: g.address, Service: ServiceHash(g.server.Service),
-		Placed: true, Load: load, LoadAge: age,
+		Placed: true, Load: load, LoadAge: age, Class: r.class(p), Route: r.id,
 	}
 }
 
