--- a/pollennode/execute.go
+++ b/pollennode/execute.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"pollenstep.example/pollenstep/pollenegress"
 	"pollenstep.example/pollenstep/pollenkernel"
 	"pollenstep.example/pollenstep/pollenlink"
 	"pollenstep.example/pollenstep/pollenpacket"
@@ -67,7 +68,7 @@
 		h.Kind = pollenlink.KindPass
 		h.Put(datagram)
 		b.settings.Format.SetMark(datagram[pollenlink.HeaderSize:], markOf(b.settings.Node))
-		b.transport.SendToNode(d.Gate, datagram)
+		b.sendPacket(d.Class, d.Route, d.Gate, datagram)
 	case pollensteer.VerdictSearch:
 		b.sendQueries(now, p, d, h, datagram)
 	case pollensteer.VerdictReset:
@@ -163,8 +164,14 @@
 		probed = b.steer.TakeProbes(now, f)
 	}
 	h.Revision = b.steer.Revision()
-	b.mu.Unlock()
 	packet := waiting.datagram
+	var class pollenegress.Class
+	var route pollenegress.Route
+	if found && h.Kind == pollenlink.KindHolder {
+		waited, _ := b.settings.Format.ParseFromCaller(packet[pollenlink.HeaderSize:])
+		class, route = b.steer.PassWaiting(now, &waited)
+	}
+	b.mu.Unlock()
 	switch {
 	case h.Kind == pollenlink.KindNotFound:
 		b.execute(now, &p, &d, h, datagram)
@@ -172,7 +179,7 @@
 		h.Kind = pollenlink.KindPass
 		h.Put(packet)
 		b.settings.Format.SetMark(packet[pollenlink.HeaderSize:], markOf(b.settings.Node))
-		b.transport.SendToNode(from, packet)
+		b.sendPacket(class, route, from, packet)
 	}
 	b.sendProbes(probed, h.Revision, packet)
 }
--- a/pollennode/tick.go
+++ b/pollennode/tick.go
@@ -31,6 +31,7 @@
 		b.log.Info("peer lost", peerFields(&p))
 	}
 	b.steer.Sweep(now)
+	b.observeLink(now)
 	b.updateComplete(now)
 	b.updateRestarted(now)
 	for _, p := range b.steer.TakeLostFlows(now) {
