Queries of several flows to one gate share datagrams on low-bandwidth links

After a power loss each of 150 old flows per balancer must be ruled out at 64 gates: 0.75 MB of queries in datagrams of their own, on a link of 2.8 Mbit/s of which they may use 0.4.

Where the settings state a link of at most 10 Mbit/s, searches of wide scopes wait for the next batch, and so do all searches while others wait or less than half of the budget is left. The new kind queries holds up to 60 flows and answers one byte for each. TickSearches sends batches every 20 ms. The budget is charged by bytes on the link. Gates of earlier releases do not answer the new kind.

--- a/pollenemulator/host.go
+++ b/pollenemulator/host.go
@@ -100,6 +100,9 @@
 	}
 	h.balancer = pollennode.NewBalancer(h.w.now, s, dependencies)
 	h.runEvery(pollennode.TickInterval, h.balancer.Tick)
+	if h.balancer.BatchesSearches() {
+		h.runEvery(pollennode.SearchTickInterval, h.balancer.TickSearches)
+	}
 	if h.disk != nil {
 		h.runEvery(pollennode.ControlTickInterval, h.balancer.TickControl)
 	}
--- a/pollenlink/frame.go
+++ b/pollenlink/frame.go
@@ -45,12 +45,16 @@
 	KindAnswer Kind = "answer"
 	// KindReceived acknowledges fragments of a message.
 	KindReceived Kind = "received"
+	// KindQueries asks a gate about several flows, and KindAnswers answers it. The service
+	// in their headers is the number of the batch.
+	KindQueries Kind = "queries"
+	KindAnswers Kind = "answers"
 )
 
 // kinds lists the kinds by their codes on the wire, which start at 1.
 var kinds = [...]Kind{
 	KindPass, KindSearch, KindDeclined, KindHolder, KindHeartbeat, KindUpdate, KindLog, KindJoin, KindCall, KindAnswer,
-	KindNotFound, KindQuery, KindNeedsPacket, KindReceived,
+	KindNotFound, KindQuery, KindNeedsPacket, KindReceived, KindQueries, KindAnswers,
 }
 
 func (k Kind) code() byte {
@@ -69,10 +73,11 @@
 	return kinds[code-1]
 }
 
-// concernsFlow reports whether a datagram of the kind concerns one flow, with or
-// without a packet of it.
+// concernsFlow reports whether a datagram of the kind concerns flows, with or without a
+// packet of one.
 func (k Kind) concernsFlow() bool {
-	return k.carriesPacket() || k == KindHolder || k == KindQuery || k == KindNeedsPacket
+	return k.carriesPacket() || k == KindHolder || k == KindQuery || k == KindNeedsPacket ||
+		k == KindQueries || k == KindAnswers
 }
 
 // carriesPacket reports whether a packet of a flow follows the header.
--- a/pollenlink/link_test.go
+++ b/pollenlink/link_test.go
@@ -35,6 +35,14 @@
 // again, and against panics on malformed input.
 func FuzzHeader(f *testing.F) {
 	f.Add([]byte{1, 2, 3, 0, 0, 0, 0, 1, 0, 0, 0, 0, 0, 0, 0, 9})
+	batch := make([]byte, pollenlink.HeaderSize, pollenlink.HeaderSize+62*pollenlink.QuerySize)
+	(&pollenlink.Header{Kind: pollenlink.KindQueries, Service: 7}).Put(batch)
+	flow := pollenpacket.Flow{Caller: netip.MustParseAddrPort("100.64.0.7:40001"), Service: netip.MustParseAddrPort("198.18.0.1:443")}
+	for n := range uint32(62) {
+		f.Add(batch)
+		f.Add(batch[:len(batch)-1])
+		batch = pollenlink.AppendQuery(batch, flow, n)
+	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		h, ok := pollenlink.ReadHeader(data)
 		if !ok {
@@ -45,6 +53,19 @@
 		if got, _ := pollenlink.ReadHeader(again); got != h {
 			t.Fatalf("header %+v became %+v after a write and a read", h, got)
 		}
+		if h.Kind != pollenlink.KindQueries {
+			return
+		}
+		queries, ok := pollenlink.ReadQueries(data[pollenlink.HeaderSize:])
+		if !ok {
+			return
+		}
+		for _, q := range queries {
+			again = pollenlink.AppendQuery(again, q.Flow, q.Acknowledged)
+		}
+		if len(queries) > pollenlink.MaxQueries || !bytes.Equal(again[pollenlink.HeaderSize:], data[pollenlink.HeaderSize:]) {
+			t.Fatalf("queries %x became %x after a read and a write", data[pollenlink.HeaderSize:], again[pollenlink.HeaderSize:])
+		}
 	})
 }
 
--- a/pollennode/balancer.go
+++ b/pollennode/balancer.go
@@ -73,6 +73,9 @@
 	calls map[uint64]chan pollenlink.Answer
 	// searchBuffer holds the last packet of each flow whose holder is searched.
 	searchBuffer map[pollenpacket.Flow]bufferedPacket
+	// batches holds the sent datagrams of queries by their number; lastBatch is the last.
+	batches   map[uint32]batch
+	lastBatch uint32
 	// openingBuffer holds the last opening packet of each flow that cannot be
 	// placed yet.
 	openingBuffer map[pollenpacket.Flow]bufferedPacket
@@ -86,7 +89,7 @@
 		base:  newBase(now, s, self, deps),
 		steer: pollensteer.New(pollensteer.Config{Domain: s.Domain, StartTime: now, Seed: deps.Seed, Policy: deps.Policy, LinkRate: s.LinkRate}),
 		calls: map[uint64]chan pollenlink.Answer{}, searchBuffer: map[pollenpacket.Flow]bufferedPacket{},
-		openingBuffer: map[pollenpacket.Flow]bufferedPacket{}, lastCallID: deps.Seed << 32,
+		openingBuffer: map[pollenpacket.Flow]bufferedPacket{}, batches: map[uint32]batch{}, lastCallID: deps.Seed << 32,
 	}
 	if s.DataFolder != "" {
 		b.control = newControl(b, deps)
@@ -176,6 +179,10 @@
 
 // HandlePacket implements pollenlink.Handler.
 func (b *Balancer) HandlePacket(now time.Time, from netip.AddrPort, h pollenlink.Header, datagram []byte) {
+	if h.Kind == pollenlink.KindAnswers {
+		b.handleAnswers(now, from, h, datagram)
+		return
+	}
 	if f, ok := pollenlink.ReadFlow(datagram[pollenlink.HeaderSize:]); ok && pollenlink.IsFlowOnly(datagram) {
 		b.handleFlowNotice(now, from, h, f, datagram)
 		return
--- a/pollennode/gate.go
+++ b/pollennode/gate.go
@@ -186,9 +186,14 @@
 
 // HandlePacket implements pollenlink.Handler.
 func (g *Gate) HandlePacket(now time.Time, from netip.AddrPort, h pollenlink.Header, datagram []byte) {
-	if h.Kind == pollenlink.KindQuery {
+	switch h.Kind {
+	case pollenlink.KindQuery:
 		g.handleQuery(now, from, h, datagram)
 		return
+	case pollenlink.KindQueries:
+		g.handleQueries(now, from, h, datagram)
+		return
+	default:
 	}
 	p, ok := g.settings.Format.ParseFromCaller(datagram[pollenlink.HeaderSize:])
 	if !ok || p.Returned || (h.Kind != pollenlink.KindPass && h.Kind != pollenlink.KindSearch) {
@@ -210,17 +215,40 @@
 		return
 	}
 	g.mu.Lock()
-	d := g.gate.Query(now, f, acknowledged)
+	h.Kind = g.query(now, f, acknowledged)
 	g.mu.Unlock()
+	g.sendFlowNotice(from, h, f)
+}
+
+// query returns the kind of the answer to a query. mu must be held.
+func (g *Gate) query(now time.Time, f pollenpacket.Flow, acknowledged uint32) pollenlink.Kind {
+	d := g.gate.Query(now, f, acknowledged)
 	switch {
 	case d.Held:
-		h.Kind = pollenlink.KindHolder
+		return pollenlink.KindHolder
 	case d.Verdict == pollengate.VerdictNeedsPacket:
-		h.Kind = pollenlink.KindNeedsPacket
+		return pollenlink.KindNeedsPacket
 	default:
-		h.Kind = pollenlink.KindNotFound
+		return pollenlink.KindNotFound
 	}
-	g.sendFlowNotice(from, h, f)
+}
+
+// handleQueries answers queries for several flows in one datagram.
+func (g *Gate) handleQueries(now time.Time, from netip.AddrPort, h pollenlink.Header, datagram []byte) {
+	queries, ok := pollenlink.ReadQueries(datagram[pollenlink.HeaderSize:])
+	if !ok {
+		g.countMalformed(now, from, len(datagram), string(h.Kind))
+		return
+	}
+	h.Kind = pollenlink.KindAnswers
+	answers := make([]byte, pollenlink.HeaderSize, pollenlink.HeaderSize+len(queries))
+	h.Put(answers)
+	g.mu.Lock()
+	for _, q := range queries {
+		answers = pollenlink.AppendAnswer(answers, g.query(now, q.Flow, q.Acknowledged))
+	}
+	g.mu.Unlock()
+	g.transport.SendToNode(from, answers)
 }
 
 // HandleMessage implements pollenlink.Handler.
--- a/pollennode/process.go
+++ b/pollennode/process.go
@@ -51,6 +51,9 @@
 		p.AddActor("control", b.control.serve)
 	}
 	p.addTicker("beats", TickInterval, b.Tick)
+	if b.BatchesSearches() {
+		p.addTicker("searches", SearchTickInterval, b.TickSearches)
+	}
 	p.stops = append(p.stops, func() {
 		b.Leave(time.Now())
 		time.Sleep(unreadyServeTime)
--- a/pollennode/search.go
+++ b/pollennode/search.go
@@ -55,13 +55,18 @@
 		}
 	}
 	b.mu.Unlock()
+	var batched []*pollensteer.Repeat
 	for i := range repeats {
 		p, d := &repeats[i].Packet, &repeats[i].Decision
-		if d.Verdict != pollensteer.VerdictDrop {
+		switch {
+		case d.Verdict == pollensteer.VerdictSearch && b.BatchesSearches():
+			batched = append(batched, &repeats[i])
+		case d.Verdict != pollensteer.VerdictDrop:
 			notice := pollenlink.AppendFlow(make([]byte, pollenlink.HeaderSize, 2*pollenlink.HeaderSize), p.Flow)
 			b.execute(now, p, d, pollenlink.Header{Revision: revision}, notice)
 		}
 	}
+	b.sendBatches(now, batched, pollenlink.Header{Revision: revision})
 	for _, p := range probes {
 		b.sendProbes(p.gates, revision, p.datagram)
 	}
--- a/pollennode/tick.go
+++ b/pollennode/tick.go
@@ -15,7 +15,9 @@
 // TickInterval.
 func (b *Balancer) Tick(now time.Time) {
 	b.tick(now)
-	b.repeatSearches(now)
+	if !b.BatchesSearches() {
+		b.repeatSearches(now)
+	}
 }
 
 func (b *Balancer) tick(now time.Time) {
@@ -42,6 +44,7 @@
 	}
 	evictExpired(now, b.searchBuffer, searchBufferTime)
 	evictExpired(now, b.openingBuffer, openingBufferTime)
+	b.evictBatches(now)
 	b.chooseBootstrapHost(now)
 	b.sendDueHeartbeats(now)
 	b.log.ReportDropped(now)
--- a/pollensteer/budget.go
+++ b/pollensteer/budget.go
@@ -4,11 +4,17 @@
 	"time"
 
 	"pollenstep.example/pollenstep/pollenbucket"
+	"pollenstep.example/pollenstep/pollenlink"
 )
 
-// queryBits is the size of one query to a gate on the link, in bits: header,
-// flow and position, with the overhead of UDP, IP and Ethernet.
-const queryBits = 8 * (32 + 8 + 20 + 18)
+// Sizes on the link in bytes.
+const (
+	// datagramSize is the size of a datagram to a gate without its queries: header, and
+	// the overhead of UDP, IP and Ethernet.
+	datagramSize = pollenlink.HeaderSize + 8 + 20 + 18
+	// querySize is the size of a query alone in its datagram.
+	querySize = datagramSize + pollenlink.QuerySize
+)
 
 // Limits of searches.
 const (
@@ -31,7 +37,7 @@
 	slowQueryTimeout = 90 * time.Millisecond
 )
 
-// A budget bounds the queries of a balancer; its tokens are queries. After a power loss
+// A budget bounds the queries of a balancer; its tokens are bytes on the link. After a power loss
 // every old flow is searched at every gate; without a limit the queries saturate a slow
 // link, and neither they nor opening packets arrive.
 type budget struct{ pollenbucket.Bucket }
@@ -39,26 +45,26 @@
 // newBudget returns a full budget for a link whose rate is given in bits per
 // second; zero means that the rate is unknown.
 func newBudget(linkRate float64) budget {
-	rate := float64(maxQueryRate)
+	rate := float64(maxQueryRate * querySize)
 	if linkRate > 0 {
-		rate = min(rate, linkRate*searchLinkShare/queryBits)
+		rate = min(rate, linkRate*searchLinkShare/8)
 	}
 	return budget{pollenbucket.New(rate, rate*searchBurst.Seconds())}
 }
 
-// take takes the queries of one search from the budget and reports whether they
-// are allowed. A search of more gates than the capacity is allowed whenever the
+// take takes the size of the queries of one search from the budget and reports whether
+// they are allowed. A search of more gates than the capacity is allowed whenever the
 // budget is full. A search that is not urgent leaves half of the capacity to
 // those that are.
-func (b *budget) take(now time.Time, queries int, urgent bool) bool {
+func (b *budget) take(now time.Time, size int, urgent bool) bool {
 	capacity := b.Capacity()
-	needed := min(capacity, float64(queries))
+	needed := min(capacity, float64(size))
 	if !urgent {
 		needed = min(capacity, needed+capacity/2)
 	}
 	if b.Level(now) < needed {
 		return false
 	}
-	b.Take(float64(queries))
+	b.Take(float64(size))
 	return true
 }
--- a/pollensteer/probe.go
+++ b/pollensteer/probe.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"pollenstep.example/pollenstep/pollenlink"
 	"pollenstep.example/pollenstep/pollenpacket"
 )
 
@@ -121,68 +120,3 @@
 	})
 	return only
 }
-
-// A Repeat is a search whose queries are repeated without a packet of the caller.
-type Repeat struct {
-	// Packet names the flow and the position that its caller last acknowledged.
-	Packet pollenpacket.Packet
-	// Decision is VerdictDrop if there is nothing to query now. Gates may have to be sent
-	// a packet nevertheless; see TakeProbes.
-	Decision Decision
-}
-
-// repeat adds a flow to those whose unanswered queries are repeated.
-func (b *Balancer) repeat(k key, e *flowEntry) {
-	if !e.repeating && len(b.repeating) < maxRepeating {
-		e.repeating = true
-		b.repeating = append(b.repeating, k)
-	}
-}
-
-// RepeatSearches returns the searches that continue without a packet of the caller, in the
-// order in which they began. While gates wait for a packet, a search whose rounds were as
-// far apart as the caller's retransmissions would delay the flow for more than a second.
-// On a low-bandwidth link all searches continue, as they widen in more steps there. The
-// repeated queries leave half of the budget to the first ones of other searches.
-func (b *Balancer) RepeatSearches(now time.Time) []Repeat {
-	var repeats []Repeat
-	kept := b.repeating[:0]
-	for _, k := range b.repeating {
-		e, known := b.flowCache[k]
-		if !known || !e.repeating {
-			continue
-		}
-		f, ok := pollenlink.ReadFlow(k[:])
-		r, routed := b.routes[f.Service]
-		if !ok || !routed || (e.gate != nil && !e.gate.removed) || now.Sub(e.lastPacket) >= repeatTimeout || !b.repeats(&e) {
-			e.repeating = false
-			b.flowCache[k] = e
-			continue
-		}
-		repeat := Repeat{
-			Packet:   pollenpacket.Packet{Flow: f, ACK: true, Acknowledged: e.acknowledged},
-			Decision: Decision{Verdict: VerdictDrop},
-		}
-		if now.Sub(e.queriedAt) >= b.timeout(e.scope) && !e.exhausted(now) {
-			if d := b.search(now, k, r, e, e.urgent && e.queriedAt.IsZero()); d.Verdict != VerdictDrop {
-				repeat.Decision = d
-			} else if len(b.gateBuffer) == 0 {
-				// Every gate has answered; only a new packet continues the search.
-				e = b.flowCache[k]
-				e.repeating = false
-				b.flowCache[k] = e
-				continue
-			}
-		}
-		kept, repeats = append(kept, k), append(repeats, repeat)
-	}
-	b.repeating = kept
-	return repeats
-}
-
-// repeats reports whether the queries of a search are repeated. Those of a wide scope
-// without gates that wait for a packet are repeated twice, and then by the caller's
-// packets only.
-func (b *Balancer) repeats(e *flowEntry) bool {
-	return e.waiting() || (b.slowLink() && (e.scope.narrow() || e.rounds < maxRounds))
-}
--- a/pollensteer/search.go
+++ b/pollensteer/search.go
@@ -62,14 +62,14 @@
 // Queries of widened searches took up to 40% of such links, and caused the loss of others.
 const maxSlowLinkRate = 10e6
 
-// slowLink reports whether the settings state a low-bandwidth link.
-func (b *Balancer) slowLink() bool {
+// SlowLink reports whether the settings state a low-bandwidth link.
+func (b *Balancer) SlowLink() bool {
 	return b.config.LinkRate > 0 && b.config.LinkRate <= maxSlowLinkRate
 }
 
 // firstScope returns the scope with which searches begin.
 func (b *Balancer) firstScope() searchScope {
-	if b.slowLink() {
+	if b.SlowLink() {
 		return scopeTop
 	}
 	return scopeNear
@@ -79,7 +79,7 @@
 // widens it. On a low-bandwidth link the loss of a query is likelier than a holder outside
 // of the scope.
 func (b *Balancer) narrowRounds() uint8 {
-	if b.slowLink() {
+	if b.SlowLink() {
 		return 2
 	}
 	return 1
@@ -88,7 +88,7 @@
 // timeout returns the time after which the gates of a search that did not answer are
 // queried again.
 func (b *Balancer) timeout(s searchScope) time.Duration {
-	if b.slowLink() && s.narrow() {
+	if b.SlowLink() && s.narrow() {
 		return slowQueryTimeout
 	}
 	return queryTimeout
@@ -113,7 +113,7 @@
 		b.listCandidates(now, k, r, &e)
 	}
 	e.gate = nil
-	if b.slowLink() {
+	if b.SlowLink() {
 		b.repeat(k, &e)
 		b.rotate(k, &e)
 	}
@@ -121,10 +121,15 @@
 	if len(b.gateBuffer) == 0 {
 		return b.finishSearch(now, k, e)
 	}
-	if !b.budget.take(now, len(b.gateBuffer), urgent) {
+	if d, waits := b.awaitBatch(now, &e); waits {
+		b.flowCache[k] = e
+		return d
+	}
+	if !b.budget.take(now, b.querySize(), urgent) {
 		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalSearchLimit}
 	}
-	e.queriedAt = now
+	b.addToBatch()
+	e.queriedAt, e.due = now, false
 	if e.rounds < maxRounds {
 		e.rounds++
 	}
