--- a/pollenlink/frame.go
+++ b/pollenlink/frame.go
@@ -50,12 +50,17 @@
 	KindCheckpoint Kind = "checkpoint"
 	KindRestore    Kind = "restore"
 	KindRestored   Kind = "restored"
+	// KindQueries asks a gate about several flows, and KindAnswers answers it. The service
+	// in their headers is the number of the batch.
+	KindQueries Kind = "queries"
+	KindAnswers Kind = "answers"
 )
 
 // kinds lists the kinds by their codes on the wire, which start at 1.
 var kinds = [...]Kind{
 	KindPass, KindSearch, KindDeclined, KindHolder, KindHeartbeat, KindUpdate, KindLog, KindJoin, KindCall, KindAnswer,
 	KindNotFound, KindQuery, KindNeedsPacket, KindReceived, KindCheckpoint, KindRestore, KindRestored,
+	KindQueries, KindAnswers,
 }
 
 func (k Kind) code() byte {
@@ -74,10 +79,11 @@
 	return kinds[code-1]
 }
 
-// concernsFlow reports whether a datagram of the kind concerns one flow, with or
-// without a packet of it.
+// concernsFlow reports whether a datagram of the kind concerns flows, with or without a
+// packet of one.
 func (k Kind) concernsFlow() bool {
-	return k.carriesPacket() || k == KindHolder || k == KindQuery || k == KindNeedsPacket
+	return k.carriesPacket() || k == KindHolder || k == KindQuery || k == KindNeedsPacket ||
+		k == KindQueries || k == KindAnswers
 }
 
 // carriesPacket reports whether a packet of a flow follows the header.
--- a/pollennode/process.go
+++ b/pollennode/process.go
@@ -52,6 +52,9 @@
 		p.AddActor("checkpoints", b.ServeCheckpoints)
 	}
 	p.addTicker("beats", TickInterval, b.Tick)
+	if b.BatchesSearches() {
+		p.addTicker("searches", SearchTickInterval, b.TickSearches)
+	}
 	p.stops = append(p.stops, func() {
 		b.Leave(time.Now())
 		time.Sleep(unreadyServeTime)
