Gates track the receipt of uploads and admit new flows by priority and age

Cause: a request of an upload route took a slot from its first packet, so a gate declined uploads although its server was idle. Requests beyond the slots were declined regardless of priority; less urgent ones, which may wait longer, filled the queue.

Change: requests of upload routes are in the stage 'receiving' until their last packet, without a slot; they still count for the bound of a cold server. pollenpriority.Level declines the least urgent priorities while the expected wait exceeds half of the objective of the most urgent route, and keeps one in ten. Balancers prefer gates that admit the priority and reset the first transmission if there is none; they mark the one in ten that they pass by the reason 'priority' in the header.

--- a/pollengate/admit.go
+++ b/pollengate/admit.go
@@ -30,8 +30,10 @@
 		return Decision{Verdict: VerdictDeliver, Reason: pollenkernel.RefusalNone, Opening: true}
 	}
 	wait := g.expectedWait()
-	if g.rateLimited(now) && g.coldCapacity(now) <= 0 {
-		return Decision{Verdict: VerdictDecline, Reason: pollenkernel.RefusalColdLimit, Opening: true, Wait: wait}
+	route := g.routes[p.Flow.Service]
+	g.level.Observe(now, wait)
+	if reason := g.limitRefusal(now, h, p, route); reason != pollenkernel.RefusalNone {
+		return Decision{Verdict: VerdictDecline, Reason: reason, Opening: true, Wait: wait}
 	}
 	late := g.missesObjective(p)
 	if late && g.overloaded(now) {
@@ -59,12 +61,41 @@
 			return Decision{Verdict: VerdictDecline, Reason: pollenkernel.RefusalNoSlots, Opening: true, Wait: wait}
 		}
 	}
+	g.open(now, p, route)
+	return Decision{Verdict: VerdictDeliver, Reason: pollenkernel.RefusalNone, Opening: true, Wait: wait}
+}
+
+// open tracks the flow of an opening packet that is delivered. route is nil if it is
+// unknown here.
+func (g *Gate) open(now time.Time, p *pollenpacket.Packet, route *pollendocument.Route) {
 	created := &flow{opened: true, stage: stageIdle, lastUsed: now, stageStart: now, callerNext: p.Sequence + 1}
+	if isUpload(route) {
+		// The data begins after the opening packet, even if its first packets are lost.
+		created.receipt = &receipt{started: true, next: p.Sequence + 1, last: p.Sequence + 1}
+	}
+	if route != nil {
+		g.level.Opened(route.Priority, p.Acknowledged)
+	}
 	g.flows[p.Flow] = created
 	g.setStage(now, created, stageOpening)
 	g.starts.add(now)
 	g.silence.sent(now)
-	return Decision{Verdict: VerdictDeliver, Reason: pollenkernel.RefusalNone, Opening: true, Wait: wait}
+}
+
+// limitRefusal returns the reason why a limit of the gate or of its backend server, other
+// than the slots, refuses a new flow, or RefusalNone. route is nil if it is unknown here.
+func (g *Gate) limitRefusal(
+	now time.Time, h *pollenlink.Header, p *pollenpacket.Packet, route *pollendocument.Route,
+) pollenkernel.Refusal {
+	switch {
+	case !g.admitsPriority(h, p, route):
+		return pollenkernel.RefusalPriority
+	case g.uploadsFull(route):
+		return pollenkernel.RefusalConnectionLimit
+	case g.rateLimited(now) && g.coldCapacity(now) <= 0:
+		return pollenkernel.RefusalColdLimit
+	}
+	return pollenkernel.RefusalNone
 }
 
 // refusalReason returns the reason why the flow of an opening packet must not be
@@ -179,8 +210,9 @@
 // coldCapacity returns the number of flows that a cold backend server may still
 // take: its bound for one second, less the flows opened and the requests started
 // in the last second, and less the unfinished requests, which include those that
-// flows being opened are about to send. It is negative if the bound is exceeded.
+// flows being opened are about to send and those that are being received. It is
+// negative if the bound is exceeded.
 func (g *Gate) coldCapacity(now time.Time) int {
 	bound := g.pool.ColdRate*g.config.Bounds.ColdFactor + g.config.Bounds.ColdSlack - coldReserve
-	return int(math.Floor(bound)) - g.starts.count(now) - g.running
+	return int(math.Floor(bound)) - g.starts.count(now) - g.running - g.receiving
 }
--- a/pollengate/flow.go
+++ b/pollengate/flow.go
@@ -12,6 +12,10 @@
 const (
 	// stageOpening lasts from the opening packet to the first request.
 	stageOpening stage = "opening"
+	// stageReceiving lasts from the first packet of a request of an upload route to the
+	// end of the request. Requests of other routes are not received in a stage of their
+	// own.
+	stageReceiving stage = "receiving"
 	// stageRunning lasts from a request to the start of its response.
 	stageRunning stage = "running"
 	// stageIdle lasts while no request is waiting for its response.
@@ -37,6 +41,8 @@
 	// callerDone and serverDone are set once the respective end has closed its
 	// stream.
 	callerDone, serverDone bool
+	// receipt is set if the flow belongs to an upload route.
+	receipt *receipt
 }
 
 // matches reports whether a caller's packet can belong to the flow that the
@@ -55,7 +61,10 @@
 func (g *Gate) trackCaller(now time.Time, f *flow, p *pollenpacket.Packet) {
 	f.lastUsed = now
 	end := p.Sequence + uint32(p.Size)
-	if p.Size > 0 && int32(end-f.callerNext) > 0 {
+	switch {
+	case p.Size > 0 && f.receipt != nil:
+		g.receive(now, f, p)
+	case p.Size > 0 && int32(end-f.callerNext) > 0:
 		f.callerNext = end
 		if f.stage != stageRunning {
 			g.starts.add(now)
@@ -71,9 +80,13 @@
 	}
 }
 
-// setStage moves a flow to a stage and updates the number of running requests.
+// setStage moves a flow to a stage and updates the numbers of running and of received
+// requests.
 func (g *Gate) setStage(now time.Time, f *flow, s stage) {
-	before, after := f.stage != stageIdle, s != stageIdle
+	if f.receipt != nil {
+		g.countReceived(f, s)
+	}
+	before, after := f.takesSlot(f.stage), f.takesSlot(s)
 	if !before && after {
 		g.running++
 	}
@@ -125,7 +138,7 @@
 	// openingTimeout is longer than the caller's own timeout of 1.4 s.
 	openingTimeout = 1500 * time.Millisecond
 	// runningTimeout bounds the time for which a request counts as running when
-	// its response does not arrive.
+	// its response does not arrive, or as being received when its end does not.
 	runningTimeout = 10 * time.Second
 	// flowIdleTimeout is longer than any idle timeout that documents may set.
 	flowIdleTimeout = 65 * time.Second
@@ -142,6 +155,7 @@
 		g.wokeAt = now
 	}
 	g.tickedAt = now
+	g.level.Observe(now, g.expectedWait())
 	if now.Sub(g.lastSweep) < sweepInterval {
 		return
 	}
@@ -155,7 +169,7 @@
 		age := now.Sub(f.lastUsed)
 		switch {
 		case f.stage == stageOpening && now.Sub(f.stageStart) >= openingTimeout,
-			f.stage == stageRunning && now.Sub(f.stageStart) >= runningTimeout:
+			(f.stage == stageRunning || f.stage == stageReceiving) && now.Sub(f.stageStart) >= runningTimeout:
 			g.setStage(now, f, stageIdle)
 		case age >= flowIdleTimeout:
 			delete(g.flows, key)
--- a/pollengate/gate.go
+++ b/pollengate/gate.go
@@ -12,6 +12,7 @@
 	"pollenstep.example/pollenstep/pollenkernel"
 	"pollenstep.example/pollenstep/pollenlink"
 	"pollenstep.example/pollenstep/pollenpacket"
+	"pollenstep.example/pollenstep/pollenpriority"
 	"pollenstep.example/pollenstep/pollensteer"
 	"pollenstep.example/pollenstep/pollenview"
 )
@@ -107,8 +108,11 @@
 	startTime time.Time
 
 	flows map[pollenpacket.Flow]*flow
-	// running is the number of flows in stageOpening or stageRunning.
+	// running is the number of flows in stageOpening or stageRunning, without the flows
+	// of upload routes in stageOpening. receiving is the number of these and of flows in
+	// stageReceiving.
 	running     int
+	receiving   int
 	meanRunning meanCount
 	// starts counts the flows opened and the requests started in the last second.
 	starts eventWindow
@@ -117,6 +121,7 @@
 	requestTime meanDuration
 	silence     silence
 	failures    failureRate
+	level       pollenpriority.Level
 	// overloadedAt is when a request was last declined that could have been
 	// answered in time and that another gate had declined before.
 	overloadedAt time.Time
@@ -158,6 +163,7 @@
 			g.routes[r.Address] = &r
 		}
 	}
+	g.configureLevel()
 	g.pool = pollendocument.Pool{Name: g.config.Service}
 	for _, p := range v.Declared.Pools {
 		if p.Name == g.config.Service {
@@ -211,19 +217,20 @@
 		return g.endProbe(p)
 	}
 	if f == nil {
-		f = &flow{stage: stageIdle, stageStart: now}
+		f = &flow{stage: stageIdle, stageStart: now, receipt: g.newReceipt(p.Flow)}
 		g.flows[p.Flow] = f
 	}
 	delete(g.probes, p.Flow)
 	f.lastUsed = now
 	f.trackServer(p)
-	if f.stage == stageRunning && (p.Size > 0 || p.RST) {
+	if (f.stage == stageRunning || f.stage == stageReceiving) && (p.Size > 0 || p.RST) {
 		g.failures.add(now, p.ServerError || p.RST)
-		if !p.ServerError && !p.RST {
+		if f.stage == stageRunning && !p.ServerError && !p.RST {
 			g.requestTime.add(g.serviceTime(now, f))
 		}
 	}
 	if p.Size > 0 {
+		g.endReceiving(now, f)
 		g.setStage(now, f, stageIdle)
 	}
 	f.serverDone = f.serverDone || p.FIN
--- a/pollengate/report.go
+++ b/pollengate/report.go
@@ -36,7 +36,7 @@
 	if r.Incarnation != g.report.Incarnation && !g.lastReport.IsZero() {
 		// The new incarnation holds no flow of the previous one.
 		clear(g.flows)
-		g.running = 0
+		g.running, g.receiving = 0, 0
 		g.meanRunning.set(now, 0)
 		g.failures = failureRate{}
 		g.allFlowsSeen = true
@@ -44,6 +44,10 @@
 	if g.lastReport.IsZero() {
 		g.allFlowsSeen = g.allFlowsSeen || r.Sequence == firstReportSequence
 		g.firstColdRemaining = r.ColdRemaining
+		if r.ColdRemaining > 0 {
+			// After an outage, the callers of all flows open them again at once.
+			g.level.Close()
+		}
 	}
 	if g.firstReport.IsZero() {
 		g.firstReport = now
@@ -95,6 +99,7 @@
 	if cold {
 		s.ColdCapacity = g.coldCapacity(now)
 	}
+	s.AdmitBelow = g.level.AdmitBelow()
 	if g.requestTime.measured {
 		s.RequestTime = g.requestTime.value
 	}
--- a/pollenlink/frame.go
+++ b/pollenlink/frame.go
@@ -89,7 +89,8 @@
 	Kind Kind
 	// Hops is the number of gates that the packet was passed to before.
 	Hops uint8
-	// Reason is why a packet was declined.
+	// Reason is why a packet was declined. In an opening packet that is passed to a gate,
+	// RefusalPriority states that the gate must not decline it for its priority.
 	Reason pollenkernel.Refusal
 	// Service is the hash of the service that the sender routes to.
 	Service uint32
--- a/pollennode/execute.go
+++ b/pollennode/execute.go
@@ -61,6 +61,9 @@
 	switch d.Verdict {
 	case pollensteer.VerdictPass:
 		h.Kind = pollenlink.KindPass
+		if d.Minimum {
+			h.Reason = pollenkernel.RefusalPriority
+		}
 		h.Put(datagram)
 		b.settings.Format.SetMark(datagram[pollenlink.HeaderSize:], markOf(b.settings.Node))
 		b.transport.SendToNode(d.Gate, datagram)
--- a/pollennode/gate.go
+++ b/pollennode/gate.go
@@ -28,6 +28,8 @@
 	gate *pollengate.Gate
 	// lastSent is the state of the backend server in the last heartbeat.
 	lastSent pollenpeer.Server
+	// lastLevel is the admission level at the last tick.
+	lastLevel pollengate.Level
 }
 
 // NewGate returns a new Gate that started at now.
@@ -263,7 +265,9 @@
 	if s.Failing != g.lastSent.Failing {
 		g.log.Info("backend server failure state changed", pollenrecord.Fields{"failing": s.Failing, "running": s.Running, "flows": s.Flows})
 	}
-	if s.State != g.lastSent.State || s.Cold != g.lastSent.Cold || s.Failing != g.lastSent.Failing || s.Starting != g.lastSent.Starting {
+	g.logLevel()
+	if s.State != g.lastSent.State || s.Cold != g.lastSent.Cold || s.Failing != g.lastSent.Failing ||
+		s.Starting != g.lastSent.Starting || s.AdmitBelow != g.lastSent.AdmitBelow {
 		g.broadcastHeartbeat(now)
 	} else {
 		g.sendHeartbeats(g.table.DuePeers(now), now)
@@ -271,6 +275,17 @@
 	g.log.ReportDropped(now)
 }
 
+// logLevel logs a change of the admission level since the last tick. mu must be held.
+func (g *Gate) logLevel() {
+	before := g.lastLevel
+	g.lastLevel = g.gate.Level()
+	if l := g.lastLevel; l.Step != before.Step {
+		g.log.Info("admission level changed", pollenrecord.Fields{
+			"level": l.Step, "before": before.Step, "admit": l.AdmitBelow, "wait": l.Wait.String(), "objective": l.Objective.String(),
+		})
+	}
+}
+
 // broadcastHeartbeat sends a heartbeat at once to every balancer that this gate
 // reports to. mu must be held.
 func (g *Gate) broadcastHeartbeat(now time.Time) {
--- a/pollenpeer/peer.go
+++ b/pollenpeer/peer.go
@@ -82,7 +82,8 @@
 	// cold.
 	ColdCapacity int
 	// Running is the number of its running and waiting requests, including flows
-	// that are being opened.
+	// that are being opened. Requests of upload routes count once they are complete, and
+	// their flows do not count while they are being opened.
 	Running int
 	// AverageRunning is Running, averaged over the last second.
 	AverageRunning float64
--- a/pollensteer/balancer.go
+++ b/pollensteer/balancer.go
@@ -59,6 +59,10 @@
 	Placed  bool
 	Load    float64
 	LoadAge time.Duration
+	// Minimum marks an opening packet of a flow that is passed although no gate admits
+	// its priority, because one in ten must be. The gate must not decline it for its
+	// priority.
+	Minimum bool
 }
 
 // Limits of the flow cache.
@@ -125,6 +129,7 @@
 	// the result of the method rank.
 	gateBuffer []netip.AddrPort
 	rankBuffer rank
+	priority   priorityState
 }
 
 // A key is a flow as encoded by pollenlink.AppendFlow.
@@ -149,6 +154,8 @@
 	// received here, and declinedTransmissions for each that was declined by busy
 	// gates only.
 	transmissions, declinedTransmissions uint8
+	// minimum is that of Decision.
+	minimum bool
 }
 
 // A route is a route of the view, with the sum of the weights of its shares and
@@ -196,12 +203,6 @@
 	}
 }
 
-// ServiceHash returns the hash by which nodes identify a service in packet
-// headers. It is never zero.
-func ServiceHash(name pollendocument.ServiceName) uint32 {
-	return uint32(xxhash.Sum64String(string(name))) | 1
-}
-
 // SetView replaces the routes and the evacuated failure domains by those of the
 // view. A view older than the one in use is ignored.
 func (b *Balancer) SetView(v *pollenview.View) {
@@ -241,6 +242,7 @@
 		at, _ := slices.BinarySearchFunc(list, p.Address, func(g *gate, a netip.AddrPort) int { return g.address.Compare(a) })
 		b.services[p.Server.Service] = slices.Insert(list, at, g)
 	}
+	b.setAdmitBelow(g, p.Server.AdmitBelow)
 	g.domain, g.server, g.leaving, g.lastSeen, g.sentOpenings = p.Domain, p.Server, p.Leaving, seen, 0
 }
 
@@ -269,18 +271,13 @@
 	if g == nil {
 		return
 	}
+	b.setAdmitBelow(g, 0)
 	g.removed = true
 	delete(b.gates, a)
 	list := b.services[g.server.Service]
 	b.services[g.server.Service] = slices.DeleteFunc(list, func(o *gate) bool { return o == g })
 }
 
-func keyOf(f pollenpacket.Flow) (k key) {
-	var buffer [12]byte
-	pollenlink.AppendFlow(buffer[:0], f)
-	return key(buffer)
-}
-
 // Steer decides what to do with a packet received from a caller.
 func (b *Balancer) Steer(now time.Time, p *pollenpacket.Packet) Decision {
 	if b.revision == 0 {
@@ -331,6 +328,7 @@
 	}
 	if decliner != nil {
 		decliner.applyRefusal(h.Reason)
+		b.recordPriorityRefusal(decliner, &h, r, p)
 	}
 	if openedElsewhere(&cached, p, decliner) {
 		if h.Reason == pollenkernel.RefusalNoSlots {
@@ -339,6 +337,10 @@
 		}
 		return Decision{Verdict: VerdictDrop, Reason: h.Reason}
 	}
+	if h.Reason == pollenkernel.RefusalPriority && p.Acknowledged > 0 {
+		// Other gates would most likely decline the retransmission too.
+		return Decision{Verdict: VerdictDrop, Reason: h.Reason}
+	}
 	if h.Reason == pollenkernel.RefusalNoSlots && h.Hops >= maxBusyHops {
 		return b.handleAllBusy(k, p, cached)
 	}
--- a/pollensteer/choose.go
+++ b/pollensteer/choose.go
@@ -8,11 +8,13 @@
 	"pollenstep.example/pollenstep/pollenpeer"
 )
 
-// usable reports whether a new flow may be opened at the gate.
+// usable reports whether a new flow may be opened at the gate. While
+// priority.admitting is set, the gate must also admit the priority of that route.
 func (b *Balancer) usable(now time.Time, g *gate) bool {
 	return !g.removed && !g.leaving && !g.unreachable && g.server.State == pollenpeer.ServerReady &&
 		now.Sub(g.lastSeen) < b.freshAge && !b.domainEvacuated(g.domain) &&
-		(!g.server.Cold || g.server.ColdCapacity > g.sentOpenings)
+		(!g.server.Cold || g.server.ColdCapacity > g.sentOpenings) &&
+		(b.priority.admitting == nil || g.admits(b.priority.admitting.Priority))
 }
 
 func (b *Balancer) domainEvacuated(name pollendocument.DomainName) bool {
--- a/pollensteer/open.go
+++ b/pollensteer/open.go
@@ -51,7 +51,9 @@
 	e.transmissions |= transmissionBit(p)
 	if known && p.Acknowledged < reassignRetransmission && b.usable(now, e.gate) {
 		b.flowCache[k] = e
-		return Decision{Verdict: VerdictPass, Gate: e.gate.address, Service: ServiceHash(e.gate.server.Service)}
+		return Decision{
+			Verdict: VerdictPass, Gate: e.gate.address, Service: ServiceHash(e.gate.server.Service), Minimum: e.minimum,
+		}
 	}
 	if !known {
 		return b.place(now, k, r, p, e, 0, nil)
@@ -65,10 +67,13 @@
 // number of gates that were tried before, and excluded the last one of them, if
 // known.
 func (b *Balancer) place(now time.Time, k key, r *route, p *pollenpacket.Packet, e flowEntry, tries int, excluded *gate) Decision {
-	g := b.choose(now, k, r, tries, excluded)
+	g, refused := b.chooseByPriority(now, k, r, p, &e, tries, excluded)
 	if g == nil && now.Sub(b.config.StartTime) < startupGrace {
 		return bufferOrDrop(p, pollenkernel.RefusalNotReady)
 	}
+	if refused {
+		return b.rejectOpening(now, p, &e, pollenkernel.RefusalPriority)
+	}
 	if g == nil {
 		return b.rejectOpening(now, p, &e, pollenkernel.RefusalNoMember)
 	}
@@ -76,10 +81,11 @@
 	g.sentOpenings++
 	b.cacheFlow(k, flowEntry{
 		gate: g, lastPacket: e.lastPacket, transmissions: e.transmissions, declinedTransmissions: e.declinedTransmissions,
+		minimum: e.minimum,
 	})
 	return Decision{
 		Verdict: VerdictPass, Gate: g.address, Service: ServiceHash(g.server.Service),
-		Placed: true, Load: load, LoadAge: age,
+		Placed: true, Load: load, LoadAge: age, Minimum: e.minimum,
 	}
 }
 
