--- a/pollensteer/priority.go
+++ b/pollensteer/priority.go
@@ -63,7 +63,7 @@
 		return g, false
 	}
 	g = b.choose(now, k, r, tries, excluded)
-	if g == nil || false {
+	if g == nil || p.Acknowledged > 0 {
 		return g, false
 	}
 	if e.minimum = b.priority.minimum.Take(r.Priority); e.minimum {
