--- a/pollensteer/balancer.go
+++ b/pollensteer/balancer.go
@@ -64,6 +64,10 @@
 	// that is shaped; Class is empty on any other.
 	Class pollenegress.Class
 	Route pollenegress.Route
+	// Minimum marks an opening packet of a flow that is passed although no gate admits
+	// its priority, because one in ten must be. The gate must not decline it for its
+	// priority.
+	Minimum bool
 }
 
 // Limits of the flow cache.
@@ -140,6 +144,7 @@
 	rankBuffer rank
 	// admission decides on flows of upload routes; nil while the link is not shaped.
 	admission *pollenegress.Admission[key]
+	priority  priorityState
 }
 
 // A route is a route of the view, with the sum of the weights of its shares and
@@ -188,12 +193,6 @@
 	}
 }
 
-// ServiceHash returns the hash by which nodes identify a service in packet
-// headers. It is never zero.
-func ServiceHash(name pollendocument.ServiceName) uint32 {
-	return uint32(xxhash.Sum64String(string(name))) | 1
-}
-
 // SetView replaces the routes and the evacuated failure domains by those of the
 // view. A view older than the one in use is ignored.
 func (b *Balancer) SetView(v *pollenview.View) {
@@ -234,6 +233,7 @@
 		at, _ := slices.BinarySearchFunc(list, p.Address, func(g *gate, a netip.AddrPort) int { return g.address.Compare(a) })
 		b.services[p.Server.Service] = slices.Insert(list, at, g)
 	}
+	b.setAdmitBelow(g, p.Server.AdmitBelow)
 	g.domain, g.server, g.leaving, g.lastSeen, g.sentOpenings = p.Domain, p.Server, p.Leaving, seen, 0
 }
 
@@ -262,18 +262,13 @@
 	if g == nil {
 		return
 	}
+	b.setAdmitBelow(g, 0)
 	g.removed = true
 	delete(b.gates, a)
 	list := b.services[g.server.Service]
 	b.services[g.server.Service] = slices.DeleteFunc(list, func(o *gate) bool { return o == g })
 }
 
-func keyOf(f pollenpacket.Flow) (k key) {
-	var buffer [12]byte
-	pollenlink.AppendFlow(buffer[:0], f)
-	return key(buffer)
-}
-
 // Steer decides what to do with a packet received from a caller.
 func (b *Balancer) Steer(now time.Time, p *pollenpacket.Packet) Decision {
 	if b.revision == 0 {
@@ -324,6 +319,7 @@
 	}
 	if decliner != nil {
 		decliner.applyRefusal(h.Reason)
+		b.recordPriorityRefusal(decliner, &h, r, p)
 	}
 	if openedElsewhere(&cached, p, decliner) {
 		if h.Reason == pollenkernel.RefusalNoSlots {
@@ -332,6 +328,10 @@
 		}
 		return Decision{Verdict: VerdictDrop, Reason: h.Reason}
 	}
+	if h.Reason == pollenkernel.RefusalPriority && p.Acknowledged > 0 {
+		// Other gates would most likely decline the retransmission too.
+		return Decision{Verdict: VerdictDrop, Reason: h.Reason}
+	}
 	if h.Reason == pollenkernel.RefusalNoSlots && h.Hops >= maxBusyHops {
 		return b.recordPlaced(now, k, r, b.handleAllBusy(k, p, cached))
 	}
--- a/pollensteer/entry.go
+++ b/pollensteer/entry.go
@@ -37,4 +37,6 @@
 	repeating bool
 	// due is set while the search waits for the next batch of queries.
 	due bool
+	// minimum is that of Decision.
+	minimum bool
 }
--- a/pollensteer/open.go
+++ b/pollensteer/open.go
@@ -53,6 +53,7 @@
 		b.flowCache[k] = e
 		d := b.pass(now, k, r, p, e.gate)
 		d.Service = ServiceHash(e.gate.server.Service)
+		d.Minimum = e.minimum
 		return d
 	}
 	if !known {
@@ -70,10 +71,13 @@
 // number of gates that were tried before, and excluded the last one of them, if
 // known.
 func (b *Balancer) place(now time.Time, k key, r *route, p *pollenpacket.Packet, e flowEntry, tries int, excluded *gate) Decision {
-	g := b.choose(now, k, r, tries, excluded)
+	g, refused := b.chooseByPriority(now, k, r, p, &e, tries, excluded)
 	if g == nil && now.Sub(b.config.StartTime) < startupGrace {
 		return bufferOrDrop(p, pollenkernel.RefusalNotReady)
 	}
+	if refused {
+		return b.rejectOpening(now, p, &e, pollenkernel.RefusalPriority)
+	}
 	if g == nil {
 		return b.rejectOpening(now, p, &e, pollenkernel.RefusalNoMember)
 	}
@@ -81,10 +85,11 @@
 	g.sentOpenings++
 	b.cacheFlow(k, flowEntry{
 		gate: g, lastPacket: e.lastPacket, transmissions: e.transmissions, declinedTransmissions: e.declinedTransmissions,
+		minimum: e.minimum,
 	})
 	return Decision{
 		Verdict: VerdictPass, Gate: g.address, Service: ServiceHash(g.server.Service),
-		Placed: true, Load: load, LoadAge: age, Class: r.class(p), Route: r.id,
+		Placed: true, Load: load, LoadAge: age, Class: r.class(p), Route: r.id, Minimum: e.minimum,
 	}
 }
 
