Place new flows by speed and failure domain

Servers of unequal speed got as many flows as their slots suggest, and flows left the failure domain while it had room.

Searches query the highest-ranked gates of each domain first, ten in total as before. Balancers count flows placed at home and away and log changes of the share. With the gates of a service in one domain, placement among equal servers is unchanged.

--- a/pollenmetric/set.go
+++ b/pollenmetric/set.go
@@ -57,6 +57,10 @@
 	// serve without them because the claims have expired.
 	EventLedgerSynced           Event = "ledger-synced"
 	EventLedgerRetentionElapsed Event = "ledger-waited-retention"
+	// EventFlowHome and EventFlowAway count the new flows that a balancer placed in its own
+	// failure domain and in others.
+	EventFlowHome Event = "flow-home"
+	EventFlowAway Event = "flow-away"
 )
 
 // Events returns every event.
@@ -66,7 +70,7 @@
 		EventFlowClosed, EventFlowRestored, EventFlowAbandoned, EventRequest, EventRequestDone,
 		EventClaimGranted, EventAnswerRepeated, EventViewChanged, EventStartedWithoutMajority, EventLeaderElected,
 		EventExpiredLeasesHeld, EventUndecodableEntry, EventSendFailed, EventMessageIncomplete, EventBackendCold, EventLedgerSynced,
-		EventLedgerRetentionElapsed,
+		EventLedgerRetentionElapsed, EventFlowHome, EventFlowAway,
 	}
 }
 
--- a/pollennode/execute.go
+++ b/pollennode/execute.go
@@ -56,6 +56,7 @@
 	if d.Retry != "" {
 		b.metrics.CountRetry(d.Retry)
 	}
+	b.countPlacement(d)
 	h.Service = d.Service
 	h.Reason = pollenkernel.RefusalNone
 	switch d.Verdict {
--- a/pollennode/tick.go
+++ b/pollennode/tick.go
@@ -37,6 +37,7 @@
 	}
 	evictExpired(now, b.searchBuffer, searchBufferTime)
 	evictExpired(now, b.openingBuffer, openingBufferTime)
+	b.logSpill(now)
 	b.chooseBootstrapHost(now)
 	b.sendDueHeartbeats(now)
 	b.log.ReportDropped(now)
--- a/pollensteer/balancer.go
+++ b/pollensteer/balancer.go
@@ -59,6 +59,8 @@
 	Placed  bool
 	Load    float64
 	LoadAge time.Duration
+	// Away reports whether a placed flow leaves the failure domain of the balancer.
+	Away bool
 }
 
 // Limits of the flow cache.
@@ -125,6 +127,7 @@
 	// the result of the method rank.
 	gateBuffer []netip.AddrPort
 	rankBuffer rank
+	groupSet
 }
 
 // A key is a flow as encoded by pollenlink.AppendFlow.
@@ -177,6 +180,7 @@
 	// removed is set once the gate is removed from the balancer; flow entries may
 	// still point to it.
 	removed bool
+	gateSpeed
 }
 
 // New returns a new Balancer. It panics if the policy is not registered, which
@@ -193,6 +197,7 @@
 		config: config, policy: policy, freshAge: pollenpeer.FreshAge, gatesComplete: true, budget: newBudget(config.LinkRate), random: rand.New(rand.NewPCG(config.Seed, 1)),
 		routes: map[netip.AddrPort]*route{}, gates: map[netip.AddrPort]*gate{},
 		services: map[pollendocument.ServiceName][]*gate{}, flowCache: map[key]flowEntry{},
+		groupSet: groupSet{groups: map[pollendocument.ServiceName]*group{}},
 	}
 }
 
@@ -241,6 +246,7 @@
 		at, _ := slices.BinarySearchFunc(list, p.Address, func(g *gate, a netip.AddrPort) int { return g.address.Compare(a) })
 		b.services[p.Server.Service] = slices.Insert(list, at, g)
 	}
+	b.markMoved(g, p)
 	g.domain, g.server, g.leaving, g.lastSeen, g.sentOpenings = p.Domain, p.Server, p.Leaving, seen, 0
 }
 
@@ -273,6 +279,7 @@
 	delete(b.gates, a)
 	list := b.services[g.server.Service]
 	b.services[g.server.Service] = slices.DeleteFunc(list, func(o *gate) bool { return o == g })
+	b.markRegroup(g.server.Service)
 }
 
 func keyOf(f pollenpacket.Flow) (k key) {
@@ -308,6 +315,7 @@
 	}
 	e.lastPacket = now
 	b.flowCache[k] = e
+	e.gate.countPacket()
 	return Decision{Verdict: VerdictPass, Gate: e.gate.address}
 }
 
--- a/pollensteer/open.go
+++ b/pollensteer/open.go
@@ -74,12 +74,13 @@
 	}
 	load, age := g.load(), now.Sub(g.lastSeen)
 	g.sentOpenings++
+	g.countPacket()
 	b.cacheFlow(k, flowEntry{
 		gate: g, lastPacket: e.lastPacket, transmissions: e.transmissions, declinedTransmissions: e.declinedTransmissions,
 	})
 	return Decision{
 		Verdict: VerdictPass, Gate: g.address, Service: ServiceHash(g.server.Service),
-		Placed: true, Load: load, LoadAge: age,
+		Placed: true, Load: load, LoadAge: age, Away: g.domain != b.config.Domain,
 	}
 }
 
--- a/pollensteer/policy.go
+++ b/pollensteer/policy.go
@@ -68,6 +68,14 @@
 // were not tried yet, so that a balancer without a cached entry for the flow
 // finds its holder by querying a few gates.
 func (b *Balancer) twoChoices(c *choice) *gate {
+	s := b.groupOf(c.gates[0].server.Service)
+	b.update(c.now, s)
+	if b.local(s) {
+		if g := b.nearHome(c, s); g != nil {
+			return g
+		}
+		return b.least(c, lessLoaded)
+	}
 	var first *gate
 	// Each earlier try considered two gates. The one that was tried last is
 	// excluded by the loop and not counted here.
@@ -123,6 +131,9 @@
 		}
 		return a
 	}
+	if a.relative > 0 && b.relative > 0 {
+		return sooner(a, b)
+	}
 	if b.load()/float64(max(1, b.server.Slots)) < a.load()/float64(max(1, a.server.Slots)) {
 		return b
 	}
--- a/pollensteer/search.go
+++ b/pollensteer/search.go
@@ -102,7 +102,7 @@
 	for _, s := range r.Shares {
 		gates := b.services[s.Service]
 		if scope == scopeNear {
-			gates = b.rank(k, gates)
+			gates = b.near(k, s.Service)
 		}
 		for _, g := range gates {
 			if !visit(g) {
