--- a/pollenmetric/set.go
+++ b/pollenmetric/set.go
@@ -60,6 +60,10 @@
 	// serve without them because the claims have expired.
 	EventLedgerSynced           Event = "ledger-synced"
 	EventLedgerRetentionElapsed Event = "ledger-waited-retention"
+	// EventFlowHome and EventFlowAway count the new flows that a balancer placed in its own
+	// failure domain and in others.
+	EventFlowHome Event = "flow-home"
+	EventFlowAway Event = "flow-away"
 )
 
 // Events of the queue of a host's link, by class: datagrams that had to wait, and those of
@@ -84,6 +88,7 @@
 		EventExpiredLeasesHeld, EventUndecodableEntry, EventSendFailed, EventMessageIncomplete, EventBackendCold, EventLedgerSynced,
 		EventLedgerRetentionElapsed, EventQueuedUrgent, EventQueuedNormal, EventQueuedBulk, EventQueuedUpdate,
 		EventDroppedUrgent, EventDroppedNormal, EventDroppedBulk, EventDroppedUpdate,
+		EventFlowHome, EventFlowAway,
 	}
 }
 
--- a/pollennode/tick.go
+++ b/pollennode/tick.go
@@ -46,6 +46,7 @@
 	evictExpired(now, b.searchBuffer, searchBufferTime)
 	evictExpired(now, b.openingBuffer, openingBufferTime)
 	b.evictBatches(now)
+	b.logSpill(now)
 	b.chooseBootstrapHost(now)
 	b.sendDueHeartbeats(now)
 	b.log.ReportDropped(now)
--- a/pollensteer/balancer.go
+++ b/pollensteer/balancer.go
@@ -68,6 +68,8 @@
 	// its priority, because one in ten must be. The gate must not decline it for its
 	// priority.
 	Minimum bool
+	// Away reports whether a placed flow leaves the failure domain of the balancer.
+	Away bool
 }
 
 // Limits of the flow cache.
@@ -145,6 +147,7 @@
 	// admission decides on flows of upload routes; nil while the link is not shaped.
 	admission *pollenegress.Admission[key]
 	priority  priorityState
+	groupSet
 }
 
 // A route is a route of the view, with the sum of the weights of its shares and
@@ -174,6 +177,7 @@
 	// removed is set once the gate is removed from the balancer; flow entries may
 	// still point to it.
 	removed bool
+	gateSpeed
 }
 
 // New returns a new Balancer. It panics if the policy is not registered, which
@@ -190,6 +194,7 @@
 		config: config, policy: policy, freshAge: pollenpeer.FreshAge, gatesComplete: true, budget: newBudget(config.LinkRate), random: rand.New(rand.NewPCG(config.Seed, 1)),
 		routes: map[netip.AddrPort]*route{}, gates: map[netip.AddrPort]*gate{},
 		services: map[pollendocument.ServiceName][]*gate{}, flowCache: map[key]flowEntry{},
+		groupSet: groupSet{groups: map[pollendocument.ServiceName]*group{}},
 	}
 }
 
@@ -234,6 +239,7 @@
 		b.services[p.Server.Service] = slices.Insert(list, at, g)
 	}
 	b.setAdmitBelow(g, p.Server.AdmitBelow)
+	b.markMoved(g, p)
 	g.domain, g.server, g.leaving, g.lastSeen, g.sentOpenings = p.Domain, p.Server, p.Leaving, seen, 0
 }
 
@@ -267,6 +273,7 @@
 	delete(b.gates, a)
 	list := b.services[g.server.Service]
 	b.services[g.server.Service] = slices.DeleteFunc(list, func(o *gate) bool { return o == g })
+	b.markRegroup(g.server.Service)
 }
 
 // Steer decides what to do with a packet received from a caller.
@@ -296,6 +303,7 @@
 	}
 	e.lastPacket = now
 	b.flowCache[k] = e
+	e.gate.countPacket()
 	return b.pass(now, k, r, p, e.gate)
 }
 
--- a/pollensteer/open.go
+++ b/pollensteer/open.go
@@ -83,6 +83,7 @@
 	}
 	load, age := g.load(), now.Sub(g.lastSeen)
 	g.sentOpenings++
+	g.countPacket()
 	b.cacheFlow(k, flowEntry{
 		gate: g, lastPacket: e.lastPacket, transmissions: e.transmissions, declinedTransmissions: e.declinedTransmissions,
 		minimum: e.minimum,
@@ -90,6 +91,7 @@
 	return Decision{
 		Verdict: VerdictPass, Gate: g.address, Service: ServiceHash(g.server.Service),
 		Placed: true, Load: load, LoadAge: age, Class: r.class(p), Route: r.id, Minimum: e.minimum,
+		Away: g.domain != b.config.Domain,
 	}
 }
 
--- a/pollensteer/search.go
+++ b/pollensteer/search.go
@@ -184,7 +184,7 @@
 	for _, s := range r.Shares {
 		gates := b.services[s.Service]
 		if scope.narrow() {
-			gates = b.rank(k, gates)
+			gates = b.near(k, s.Service)
 		}
 		if scope == scopeTop {
 			gates = gates[:min(maxTop, len(gates))]
