Findings of the review of the parts under load

Found and mended: - The share of flows that leave a failure domain was computed without the gates that decline the priority of the flow being placed, and jumped to 1. - A gate with as many uploads as its connection limit was avoided for other routes too.

--- a/pollenegress/admission.go
+++ b/pollenegress/admission.go
@@ -103,7 +103,7 @@
 	}
 	// A flow that is larger than the link carries in that time is admitted while no other
 	// one is: it could never be sent otherwise.
-	if a.outstanding == 0 && a.queued == 0 {
+	if a.outstanding < 1 && a.queued == 0 {
 		return true
 	}
 	a.refusedAt = now
--- a/pollengate/admit.go
+++ b/pollengate/admit.go
@@ -68,7 +68,7 @@
 // open tracks the flow of an opening packet that is delivered. route is nil if it is
 // unknown here.
 func (g *Gate) open(now time.Time, p *pollenpacket.Packet, route *pollendocument.Route) {
-	created := &flow{opened: true, stage: stageIdle, lastUsed: now, stageStart: now, callerNext: p.Sequence + 1}
+	created := &flow{opened: true, stage: stageIdle, lastUsed: now, stageStart: now, callerNext: p.Sequence + 1, callerKnown: true}
 	if isUpload(route) {
 		// The data begins after the opening packet, even if its first packets are lost.
 		created.receipt = &receipt{started: true, next: p.Sequence + 1, last: p.Sequence + 1}
@@ -91,7 +91,8 @@
 	case !g.admitsPriority(h, p, route):
 		return pollenkernel.RefusalPriority
 	case g.uploadsFull(route):
-		return pollenkernel.RefusalConnectionLimit
+		// RefusalConnectionLimit would make balancers avoid the gate for other routes too.
+		return pollenkernel.RefusalNoSlots
 	case g.rateLimited(now) && g.coldCapacity(now) <= 0:
 		return pollenkernel.RefusalColdLimit
 	}
--- a/pollengate/flow.go
+++ b/pollengate/flow.go
@@ -33,6 +33,9 @@
 	lastUsed time.Time
 	// callerNext is the sequence number after the last byte that the caller sent.
 	callerNext uint32
+	// callerKnown is set once callerNext is valid. It is not on a flow that this gate did
+	// not see open, before its first data.
+	callerKnown bool
 	// opened is set if this gate saw the opening packet of the flow, and answered
 	// once the backend server has answered it. From then on, serverFirst and
 	// serverNext are the first and the next sequence number of the server's stream.
@@ -71,8 +74,8 @@
 	switch {
 	case p.Size > 0 && f.receipt != nil:
 		g.receive(now, f, p)
-	case p.Size > 0 && int32(end-f.callerNext) > 0:
-		f.callerNext = end
+	case p.Size > 0 && (!f.callerKnown || int32(end-f.callerNext) > 0):
+		f.callerNext, f.callerKnown = end, true
 		if f.stage != stageRunning {
 			g.starts.add(now)
 		}
--- a/pollengate/restore.go
+++ b/pollengate/restore.go
@@ -47,7 +47,8 @@
 // first report of the backend server. A checkpoint of a later start, or of a server
 // with another name that has not started since, is not of this server.
 func (g *Gate) applyCheckpoint(now time.Time) {
-	if g.checkpoint == nil {
+	if g.checkpoint == nil || g.checkpoint.Incarnation > g.report.Incarnation {
+		// A delayed report of an earlier start may come first.
 		return
 	}
 	flows := g.checkpoint.Flows
@@ -66,7 +67,7 @@
 			if g.flows[f.Flow] == nil {
 				g.flows[f.Flow] = &flow{
 					stage: stageIdle, stageStart: now, lastUsed: now, answered: true, serverFirst: f.Position, serverNext: f.Position,
-					confirmed: true, restored: true,
+					confirmed: true, restored: true, receipt: g.newReceipt(f.Flow),
 				}
 				g.restoredFlows++
 			}
--- a/pollengate/restore_test.go
+++ b/pollengate/restore_test.go
@@ -179,3 +179,30 @@
 		})
 	}
 }
+
+// Requests on a restored flow must count whatever the sequence numbers of its caller, or
+// the gate takes its server for idle.
+func TestRequestsOnRestoredFlowsCount(t *testing.T) {
+	for _, sequence := range []uint32{1000, 3_000_000_000} {
+		g := newReadyGate(0, 0)
+		g.Restore(startTime, stored(1, 5, 7))
+		h := pollenlink.Header{Kind: pollenlink.KindPass, Revision: 1}
+		p := pollenpacket.Packet{Flow: flow(7), ACK: true, Sequence: sequence, Acknowledged: 541, Size: 100}
+		g.HandleCallerPacket(startTime, balancer, &h, &p)
+		if s := g.Server(startTime); s.Running != 1 {
+			t.Errorf("sequence number %d: %d requests running; want 1", sequence, s.Running)
+		}
+	}
+}
+
+// A delayed report of an earlier start must not discard a checkpoint of the present one.
+func TestCheckpointWaitsForItsReport(t *testing.T) {
+	g := newReadyGate(0, 0)
+	g.Restore(startTime, stored(2, 5, 7))
+	later := restartReport()
+	later.Incarnation++
+	g.HandleReport(startTime, later)
+	if lost := g.TakeLostFlows(startTime); !slices.Equal(lostPorts(lost), []uint16{7}) {
+		t.Fatalf("lost flows %v; want that of port 7", lostPorts(lost))
+	}
+}
--- a/pollennode/balancer.go
+++ b/pollennode/balancer.go
@@ -93,6 +93,8 @@
 		steer: pollensteer.New(pollensteer.Config{Domain: s.Domain, StartTime: now, Seed: deps.Seed, Policy: deps.Policy, LinkRate: s.LinkRate}),
 		calls: map[uint64]chan pollenlink.Answer{}, searchBuffer: map[pollenpacket.Flow]bufferedPacket{},
 		openingBuffer: map[pollenpacket.Flow]bufferedPacket{}, batches: map[uint32]batch{}, lastCallID: deps.Seed << 32,
+		// Answers to batches of an earlier run of the process must match none.
+		lastBatch: uint32(deps.Seed),
 	}
 	b.shaper.transport, _ = deps.Transport.(Shaper)
 	if s.DataFolder != "" {
@@ -176,7 +178,8 @@
 	var probed []netip.AddrPort
 	if d.Verdict != pollensteer.VerdictPass {
 		probed = b.steer.TakeProbes(now, p.Flow)
-		if d.Verdict == pollensteer.VerdictDrop && !p.Opening() {
+		searched := d.Reason == pollenkernel.RefusalUnknownFlow || d.Reason == pollenkernel.RefusalSearchLimit
+		if d.Verdict == pollensteer.VerdictDrop && searched && !p.Opening() {
 			b.bufferSearched(now, &p, datagram)
 		}
 	}
--- a/pollennode/search.go
+++ b/pollennode/search.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"pollenstep.example/pollenstep/pollenegress"
 	"pollenstep.example/pollenstep/pollenlink"
 	"pollenstep.example/pollenstep/pollenpacket"
 	"pollenstep.example/pollenstep/pollensteer"
@@ -34,7 +35,7 @@
 	h.Put(datagram)
 	b.settings.Format.SetMark(datagram[pollenlink.HeaderSize:], 0)
 	for _, g := range gates {
-		b.transport.SendToNode(g, datagram)
+		b.sendPacket(pollenegress.ClassNormal, 0, g, datagram)
 	}
 }
 
@@ -51,7 +52,10 @@
 	for i := range repeats {
 		f := repeats[i].Packet.Flow
 		if buffered, found := b.searchBuffer[f]; found {
-			probes = append(probes, probe{b.steer.TakeProbes(now, f), buffered.datagram})
+			// Another goroutine may write the header of the buffered datagram.
+			if gates := b.steer.TakeProbes(now, f); len(gates) > 0 {
+				probes = append(probes, probe{gates, slices.Clone(buffered.datagram)})
+			}
 		}
 	}
 	b.mu.Unlock()
--- a/pollensteer/balancer.go
+++ b/pollensteer/balancer.go
@@ -338,7 +338,7 @@
 	}
 	if h.Reason == pollenkernel.RefusalPriority && p.Acknowledged > 0 {
 		// Other gates would most likely decline the retransmission too.
-		return Decision{Verdict: VerdictDrop, Reason: h.Reason}
+		return b.recordPlaced(now, k, r, Decision{Verdict: VerdictDrop, Reason: h.Reason})
 	}
 	if h.Reason == pollenkernel.RefusalNoSlots && h.Hops >= maxBusyHops {
 		return b.recordPlaced(now, k, r, b.handleAllBusy(k, p, cached))
--- a/pollensteer/choose.go
+++ b/pollensteer/choose.go
@@ -8,12 +8,17 @@
 	"pollenstep.example/pollenstep/pollenpeer"
 )
 
+// available reports whether new flows may be opened at the gate, without regard to the
+// limits that depend on the flow and on what was sent since the last heartbeat.
+func (b *Balancer) available(now time.Time, g *gate) bool {
+	return !g.removed && !g.leaving && !g.unreachable && g.server.State == pollenpeer.ServerReady &&
+		now.Sub(g.lastSeen) < b.freshAge && !b.domainEvacuated(g.domain)
+}
+
 // usable reports whether a new flow may be opened at the gate. While
 // priority.admitting is set, the gate must also admit the priority of that route.
 func (b *Balancer) usable(now time.Time, g *gate) bool {
-	return !g.removed && !g.leaving && !g.unreachable && g.server.State == pollenpeer.ServerReady &&
-		now.Sub(g.lastSeen) < b.freshAge && !b.domainEvacuated(g.domain) &&
-		(!g.server.Cold || g.server.ColdCapacity > g.sentOpenings) &&
+	return b.available(now, g) && (!g.server.Cold || g.server.ColdCapacity > g.sentOpenings) &&
 		(b.priority.admitting == nil || g.admits(b.priority.admitting.Priority))
 }
 
--- a/pollensteer/group.go
+++ b/pollensteer/group.go
@@ -153,7 +153,7 @@
 	for _, d := range s.domains {
 		for _, g := range d.gates {
 			g.requestTime = pollenspeed.Smooth(g.requestTime, g.server.RequestTime, now.Sub(s.updatedAt))
-			if g.requestTime > 0 && b.usable(now, g) {
+			if g.requestTime > 0 && b.available(now, g) {
 				s.times = append(s.times, g.requestTime)
 			}
 		}
@@ -180,7 +180,7 @@
 	}
 }
 
-// measure returns the capacity and the load of a domain's usable gates and sets their
+// measure returns the capacity and the load of a domain's available gates and sets their
 // relative request times. The packets that this balancer has sent since the heartbeats do
 // not count, so that the balancers of a domain agree.
 func (b *Balancer) measure(now time.Time, s *group, d *domainGates, home bool) (state pollenlocality.Domain) {
@@ -190,7 +190,7 @@
 		if s.speed.Active() {
 			g.relative = relative
 		}
-		if !b.usable(now, g) {
+		if !b.available(now, g) {
 			continue
 		}
 		slots := float64(max(1, g.server.Slots))
--- a/pollensteer/open.go
+++ b/pollensteer/open.go
@@ -75,6 +75,10 @@
 	if g == nil && now.Sub(b.config.StartTime) < startupGrace {
 		return bufferOrDrop(p, pollenkernel.RefusalNotReady)
 	}
+	if refused && excluded != nil && excluded.admits(r.Priority) {
+		// The only gate that admits the priority is busy; it may take the retransmission.
+		return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalNoSlots}
+	}
 	if refused {
 		return b.rejectOpening(now, p, &e, pollenkernel.RefusalPriority)
 	}
@@ -126,6 +130,7 @@
 	}
 	b.cacheFlow(k, flowEntry{
 		lastPacket: cached.lastPacket, transmissions: cached.transmissions, declinedTransmissions: declinedTransmissions,
+		minimum: cached.minimum,
 	})
 	return Decision{Verdict: VerdictDrop, Reason: pollenkernel.RefusalNoSlots}
 }
--- a/pollensteer/priority_test.go
+++ b/pollensteer/priority_test.go
@@ -123,3 +123,40 @@
 		}
 	}
 }
+
+// Load pattern: the gates of one failure domain decline a priority while its servers have
+// room. The share of flows that leave the domain must not depend on the priority of the
+// flow that is placed when it is computed, or urgent flows leave too.
+func TestClosedGatesAreRoomForUrgentFlows(t *testing.T) {
+	b := closableBalancer(afterGrace)
+	now := afterGrace
+	for n := range 8 {
+		p := gate(n+10, "rings")
+		if n >= 4 {
+			p.Domain = "b"
+		} else {
+			p.Server.AdmitBelow = feedPriority
+		}
+		b.SetGate(now, p)
+	}
+	stateLevels(b, now, feedPriority, feedPriority)
+	for i := range uint16(50) {
+		now = now.Add(20 * time.Millisecond)
+		b.Steer(now, opening(i, 0))
+	}
+	for _, change := range b.SpillChanges(now) {
+		t.Errorf("%s: share of %.2f leaves, load at home %.2f", change.Service, change.New, change.HomeLoad)
+	}
+}
+
+// Load pattern: the only gate that admits a flow is busy. The opening packet must be left to
+// its retransmission, since a reset would use up one of the caller's tries.
+func TestBusyGateIsTriedAgain(t *testing.T) {
+	b := closableBalancer(afterGrace, feedPriority, feedPriority)
+	// The first flow that no gate admits is passed as the minimum share.
+	b.Steer(afterGrace, opening(0, 0))
+	stateLevels(b, afterGrace, 0, feedPriority)
+	d := b.Steer(afterGrace, opening(1, 0))
+	busy := pollenlink.Header{Kind: pollenlink.KindDeclined, Reason: pollenkernel.RefusalNoSlots, Hops: 1}
+	wantDecision(t, b.HandleDeclined(afterGrace, d.Gate, busy, opening(1, 0)), pollensteer.VerdictDrop, pollenkernel.RefusalNoSlots)
+}
--- a/pollensteer/shape.go
+++ b/pollensteer/shape.go
@@ -111,7 +111,11 @@
 	if d = b.rejectOpening(now, p, e, pollenkernel.RefusalLinkFull); d.Verdict != VerdictReset {
 		return Decision{}, false
 	}
-	return d, !b.admission.Fits(now, r.id, r.Objective)
+	objective := r.Objective
+	if objective <= 0 {
+		objective = r.Timeout
+	}
+	return d, !b.admission.Fits(now, r.id, objective)
 }
 
 // recordPlaced accounts for the decision on a new flow of the route: it is admitted if it
--- a/pollensteer/shape_test.go
+++ b/pollensteer/shape_test.go
@@ -71,7 +71,8 @@
 	}
 }
 
-// TestDeclinedUploadIsForgotten opens uploads that three busy gates decline each. It guards
+// TestDeclinedUploadIsForgotten opens uploads that three busy gates decline each, and
+// retransmits others that a gate declines for their priority. It guards
 // against a link that counts as full because of flows that never opened.
 func TestDeclinedUploadIsForgotten(t *testing.T) {
 	b := shapedBalancer(thinRate, false)
@@ -81,6 +82,11 @@
 		wantDecision(t, d, pollensteer.VerdictPass, "")
 		wantDecision(t, b.HandleDeclined(afterGrace, d.Gate, busy, opening(port+1, 0)), pollensteer.VerdictDrop, pollenkernel.RefusalNoSlots)
 	}
+	declined := pollenlink.Header{Kind: pollenlink.KindDeclined, Reason: pollenkernel.RefusalPriority, Hops: 1}
+	for port := range uint16(100) {
+		d := b.Steer(afterGrace, opening(port+1001, 1))
+		wantDecision(t, b.HandleDeclined(afterGrace, d.Gate, declined, opening(port+1001, 1)), pollensteer.VerdictDrop, pollenkernel.RefusalPriority)
+	}
 	if p := b.Pressure(afterGrace); p.Flows != 0 || p.Outstanding != 0 {
 		t.Errorf("pressure %+v; want no flow", p)
 	}
