Soak: uploads, bursts and resets of lost flows

Cause: the soak had no route of the kind upload and no stated link rate, so the egress queue, the admission and the receipt of uploads were inactive.

Change: a route of uploads (40,000 bytes in 34 packets) beside orders, with a lower priority; a link of 4 Mbit/s at two of the three balancers without a disk; the fault burst. Reset openings are counted by route, and those of uploads are attempted again with the same ID. A reset opening whose flow a server holds is broken. Resets of flows whose server is gone are counted.

--- a/pollensoak/caller.go
+++ b/pollensoak/caller.go
@@ -29,9 +29,14 @@
 	// failureDelay is the time that a caller waits after an unanswered request. A
 	// refusal arrives at once, so without it the caller would loop on refusals.
 	failureDelay = 100 * time.Millisecond
-	// flowsPerCaller is the number of flows that a caller uses at a time, with one
-	// request each.
-	flowsPerCaller = 8
+	// uploadSize is the size of an upload in bytes, maxPayload that of one packet of it,
+	// and windowSize that of the data which a caller sends without an acknowledgement.
+	uploadSize = 40_000
+	maxPayload = 1200
+	windowSize = 16 * maxPayload
+	// uploadAttempts is the number of flows on which a caller tries to send an upload
+	// while its opening packets are reset.
+	uploadAttempts = 3
 	// requestsPerFlow is the number of requests on one flow to a service whose
 	// requests may be repeated. Other flows carry one request.
 	requestsPerFlow = 25
@@ -89,32 +94,50 @@
 	}
 }
 
-// runFlows runs one flow after the other to the service of that index, until requests
-// end.
-func (c *caller) runFlows(service int, random *rand.Rand) {
-	for c.run.sendsRequests() {
+// runFlows runs one flow after the other to the route of that index, until requests end.
+// If end is not zero, it runs them until then and does not pause between uploads.
+func (c *caller) runFlows(route int, random *rand.Rand, end time.Time) {
+	attempt := 1
+	id := c.run.lastRequestID.Add(1)
+	for c.run.sendsRequests() && (end.IsZero() || time.Now().Before(end)) {
 		c.mu.Lock()
 		c.lastPort++
 		f := &flow{
-			c: c, service: service, packets: make(chan pollenpacket.Packet, 16), sequence: 1,
-			endpoints: pollenpacket.Flow{Caller: netip.AddrPortFrom(c.ip, c.lastPort), Service: c.run.addresses[service]},
+			c: c, route: route, packets: make(chan pollenpacket.Packet, 64), sequence: 1, firstID: id,
+			last:      route != uploadRoute || attempt == uploadAttempts,
+			endpoints: pollenpacket.Flow{Caller: netip.AddrPortFrom(c.ip, c.lastPort), Service: c.run.addresses[route]},
 		}
 		c.flows[c.lastPort] = f.packets
 		c.mu.Unlock()
-		if !f.run(random) {
-			time.Sleep(failureDelay)
-		}
+		answered := f.run(random)
 		c.mu.Lock()
 		delete(c.flows, f.endpoints.Caller.Port())
 		c.mu.Unlock()
+		if f.refused && !f.last {
+			attempt++
+			continue
+		}
+		attempt, id = 1, c.run.lastRequestID.Add(1)
+		switch {
+		case !answered:
+			time.Sleep(failureDelay)
+		case route == uploadRoute && end.IsZero():
+			time.Sleep(time.Duration(random.Int64N(int64(maxRequestGap))))
+		}
 	}
 }
 
 // A flow is the state of a flow at its caller.
 type flow struct {
 	c *caller
-	// service is the index of the flow's service in services.
-	service   int
+	// route is the index of the flow's route in routes.
+	route int
+	// firstID is the ID of the first request. It is the same for all attempts to send an
+	// upload; last is set for the last of them.
+	firstID uint64
+	last    bool
+	// refused is set once the opening packet was reset.
+	refused   bool
 	endpoints pollenpacket.Flow
 	packets   chan pollenpacket.Packet
 	// sequence is the position of the next request in the caller's stream, and
@@ -127,7 +150,7 @@
 func (f *flow) run(random *rand.Rand) bool {
 	answered := true
 	requests := 1
-	if services[f.service].kind != "unsafe" {
+	if routes[f.route].kind == "safe" {
 		requests = requestsPerFlow
 	}
 	for i := range requests {
@@ -139,7 +162,14 @@
 		}
 		finalPhase := f.c.run.inFinalPhase()
 		startTime := time.Now()
-		answered = (i > 0 || f.open()) && f.request(f.c.run.lastRequestID.Add(1), requestTimeout-time.Since(startTime))
+		id := f.firstID
+		if i > 0 {
+			id = f.c.run.lastRequestID.Add(1)
+		}
+		answered = (i > 0 || f.open()) && f.request(id, routes[f.route].timeout-time.Since(startTime))
+		if f.refused && !f.last {
+			return false
+		}
 		f.c.run.check.countRequest(finalPhase, answered)
 		if !answered {
 			break
@@ -163,6 +193,8 @@
 			select {
 			case p := <-f.packets:
 				if p.RST {
+					f.refused = true
+					f.c.run.checkReset(f.endpoints, f.route, true)
 					return false
 				}
 				if p.SYN {
@@ -177,30 +209,47 @@
 	return false
 }
 
-// request sends a request and retransmits it until it is answered. It returns false
-// after a reset or the time limit.
+// request sends a request and retransmits what is not acknowledged until it is answered.
+// It returns false after a reset or the time limit.
 func (f *flow) request(id uint64, limit time.Duration) bool {
-	stream := binary.BigEndian.AppendUint64(nil, id)
+	data := make([]byte, routes[f.route].size)
+	binary.BigEndian.PutUint64(data, id)
+	start, end := f.sequence, f.sequence+uint32(len(data))
 	timeout := time.After(limit)
 	wait := initialResendInterval
+	// The data before received is acknowledged, and that before next was sent.
+	received, next := start, start
 	for {
-		f.c.send(&pollenpacket.Packet{Flow: f.endpoints, ACK: true, Sequence: f.sequence, Acknowledged: f.acknowledged, Size: idSize}, stream)
+		for ; next < end && next < received+windowSize; next = min(end, next+maxPayload) {
+			payload := data[next-start : min(end, next+maxPayload)-start]
+			f.c.send(&pollenpacket.Packet{Flow: f.endpoints, ACK: true, Sequence: next, Acknowledged: f.acknowledged, Size: len(payload)}, payload)
+		}
 		resend := time.After(wait)
-		wait *= 2
 	waiting:
 		for {
 			select {
 			case p := <-f.packets:
 				switch {
 				case p.RST:
-					f.c.run.checkReset(f.endpoints)
+					f.c.run.checkReset(f.endpoints, f.route, false)
 					return false
-				case p.Size == idSize && p.Acknowledged == f.sequence+idSize:
-					f.sequence += idSize
+				case p.Size == idSize && p.Acknowledged == end:
+					f.sequence = end
 					f.acknowledged = p.Sequence + idSize
 					return true
+				case !p.SYN && p.Acknowledged > received && p.Acknowledged <= end:
+					received = p.Acknowledged
+					next = max(next, received)
+					wait = initialResendInterval
+					break waiting
 				}
 			case <-resend:
+				next = received
+				if received == end {
+					// The answer was lost: the last packet requests it again.
+					next = start + (uint32(len(data))-1)/maxPayload*maxPayload
+				}
+				wait *= 2
 				break waiting
 			case <-timeout:
 				return false
--- a/pollensoak/check.go
+++ b/pollensoak/check.go
@@ -22,12 +22,20 @@
 	// sent counts requests, answered those that were answered, and excusedResets the
 	// resets of open flows during or shortly after an unplanned fault.
 	sent, answered, excusedResets int
+	// lostResets counts the resets of flows whose backend server was gone, and refusals
+	// the resets of opening packets by route.
+	lostResets int
+	refusals   map[string]int
+	// uploads counts the runs of uploads, which were complete at their backend servers.
+	uploads int
 	// finalSent counts the requests of the final phase without faults, and
 	// finalAnswered those of them that were answered.
 	finalSent, finalAnswered int
 }
 
-func newCheck() *check { return &check{violations: map[string]int{}, runs: map[uint64]int{}} }
+func newCheck() *check {
+	return &check{violations: map[string]int{}, refusals: map[string]int{}, runs: map[uint64]int{}}
+}
 
 // addViolation counts a violation of the guarantee, and describes it if fewer than
 // maxNotes are described.
@@ -42,8 +50,11 @@
 
 // countRun counts a run of a request that may not be repeated, and records a violation
 // when it runs for the second time.
-func (c *check) countRun(id uint64) {
+func (c *check) countRun(id uint64, upload bool) {
 	c.mu.Lock()
+	if upload {
+		c.uploads++
+	}
 	c.runs[id]++
 	twice := c.runs[id] == 2
 	c.mu.Unlock()
@@ -74,6 +85,11 @@
 	// Sent counts requests, Answered those that were answered, and ExcusedResets the
 	// resets of open flows during or shortly after an unplanned fault.
 	Sent, Answered, ExcusedResets int
+	// LostResets counts the resets of flows whose backend server was gone, and Uploads
+	// the runs of uploads.
+	LostResets, Uploads int
+	// Refusals counts the resets of opening packets by route.
+	Refusals map[string]int
 	// Faults is the number of faults that were injected.
 	Faults int
 	// Violations counts the violations by the name of the guarantee. It is empty if the
@@ -88,7 +104,10 @@
 
 // Summary returns the counts and violations of the run in one line.
 func (r *Result) Summary() string {
-	text := fmt.Sprintf("seed=%d faults=%d requests=%d answered=%d excused=%d", r.Seed, r.Faults, r.Sent, r.Answered, r.ExcusedResets)
+	text := fmt.Sprintf("seed=%d faults=%d requests=%d answered=%d excused=%d gone=%d uploads=%d", r.Seed, r.Faults, r.Sent, r.Answered, r.ExcusedResets, r.LostResets, r.Uploads)
+	for _, name := range slices.Sorted(maps.Keys(r.Refusals)) {
+		text += fmt.Sprintf(" refused-%s=%d", name, r.Refusals[name])
+	}
 	for _, name := range slices.Sorted(maps.Keys(r.Violations)) {
 		text += fmt.Sprintf(" %s=%d", name, r.Violations[name])
 	}
--- a/pollensoak/fault.go
+++ b/pollensoak/fault.go
@@ -19,6 +19,9 @@
 	// disturbedPeriod is the time after a fault on a host in which the fault may still
 	// have effects.
 	disturbedPeriod = 5 * time.Second
+	burstDuration   = 2 * time.Second
+	// burstFlows is the number of flows with uploads that each caller adds in a burst.
+	burstFlows = 4
 )
 
 // A fault injects one fault into a run. It returns false, and does nothing, if that is
@@ -38,6 +41,7 @@
 	"drain":   (*run).drainServer,
 	"declare": func(r *run, _ *rand.Rand) bool { return r.requestDocument() },
 	"herd":    (*run).killAllGates,
+	"burst":   (*run).startBurst,
 }
 
 // claimHost claims a random host for a fault, out of those that fit and that no other
@@ -220,3 +224,23 @@
 	})
 	return true
 }
+
+// startBurst has every caller send further uploads without pauses for burstDuration, unless
+// a burst is going on. It disturbs no host, so it excuses nothing.
+func (r *run) startBurst(random *rand.Rand) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if now.Before(r.burstEnd) {
+		return false
+	}
+	end := now.Add(burstDuration)
+	r.burstEnd = end
+	for _, c := range r.callers {
+		for range burstFlows {
+			own := rand.New(rand.NewPCG(random.Uint64(), 1))
+			r.spawn(func() { c.runFlows(uploadRoute, own, end) })
+		}
+	}
+	return true
+}
--- a/pollensoak/operator.go
+++ b/pollensoak/operator.go
@@ -50,7 +50,7 @@
 // acknowledged or refused, or the time limit has passed.
 func (o *operator) declare(random *rand.Rand, limit time.Duration) {
 	o.version += 1 + random.Uint64N(3)
-	body := platform.StandInDocument(o.version, o.run.addresses, serviceNames(), serviceKinds(), requestTimeout+time.Duration(o.version)*time.Millisecond)
+	body := platform.StandInDocument(o.version, o.routes(), services)
 	o.submitted[o.version] = body
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(operatorInterval) {
 		switch status := requestStatus(o.client, http.MethodPut, o.url(random), body); status {
@@ -94,16 +94,13 @@
 	return true
 }
 
-func serviceNames() (names []string) {
-	for _, s := range services {
-		names = append(names, s.name)
+// routes returns the declaration of the routes, whose timeouts differ by version.
+func (o *operator) routes() (declared []platform.StandInRoute) {
+	for i, r := range routes {
+		declared = append(declared, platform.StandInRoute{
+			Name: r.name, Kind: r.kind, Service: r.service, Address: o.run.addresses[i], Priority: r.priority,
+			Objective: r.objective, Timeout: r.timeout + time.Duration(o.version)*time.Millisecond,
+		})
 	}
-	return names
-}
-
-func serviceKinds() (kinds []string) {
-	for _, s := range services {
-		kinds = append(kinds, s.kind)
-	}
-	return kinds
+	return declared
 }
--- a/pollensoak/run.go
+++ b/pollensoak/run.go
@@ -60,7 +60,7 @@
 	config Config
 	check  *check
 	hosts  []*host
-	// addresses holds the address of each of the services.
+	// addresses holds the address of each of the routes.
 	addresses []netip.AddrPort
 	router    *router
 	operator  *operator
@@ -85,6 +85,8 @@
 	// the future during one; lastFault is the time of the last unplanned fault.
 	lastDiskFault time.Time
 	lastFault     time.Time
+	// burstEnd is the end of the last burst of uploads.
+	burstEnd time.Time
 	// failure is the first error of the run itself.
 	failure error
 }
@@ -98,7 +100,7 @@
 		config: c, check: newCheck(), claimed: map[*host]bool{}, documentRequests: make(chan struct{}, 1), operatorDone: make(chan struct{}),
 		router: &router{missedProbes: map[*host]int{}, delayedUntil: map[*host]time.Time{}, lostUntil: map[*host]time.Time{}},
 	}
-	for i := range services {
+	for i := range routes {
 		r.addresses = append(r.addresses, netip.AddrPortFrom(address(c.Network, callerBlock+1, i+1), 443))
 	}
 	defer r.close()
@@ -145,9 +147,12 @@
 			return errors.Wrapf(err, "start proxy of %s", h.Name)
 		}
 		proxies = append(proxies, p)
+		// The probes of the balancers before this one are running. A balancer is out of
+		// rotation until a probe succeeds.
+		r.router.mu.Lock()
 		r.router.balancers = append(r.router.balancers, h)
-		// A balancer is out of rotation until a probe succeeds.
 		r.router.missedProbes[h] = 2
+		r.router.mu.Unlock()
 		go r.router.probe(r, h)
 	}
 	r.operator = newOperator(r, proxies)
@@ -162,9 +167,11 @@
 			return errors.Wrapf(err, "start caller %d", i+1)
 		}
 		r.callers = append(r.callers, c)
-		for j := range flowsPerCaller {
-			random := rand.New(rand.NewPCG(r.config.Seed, uint64(100*i+j+10)))
-			r.spawn(func() { c.runFlows(j%len(services), random) })
+		for j := range routes {
+			for n := range routes[j].flows {
+				random := rand.New(rand.NewPCG(r.config.Seed, uint64(100*i+10*j+n+10)))
+				r.spawn(func() { c.runFlows(j, random, time.Time{}) })
+			}
 		}
 	}
 	// The callers send requests for 2 s before the first fault.
@@ -194,16 +201,19 @@
 	for d := range domainCount {
 		for n := range r.config.Balancers {
 			h := add(d, n+1, "balancer")
-			if n == 0 {
+			switch {
+			case n == 0:
 				h.disk = true
 				h.DataFolder = filepath.Join(r.config.Folder, "data-"+h.Name)
+			case (n+d)%2 == 1:
+				h.LinkMbps = linkMbps
 			}
 		}
 	}
 	for n := range r.config.Servers {
 		for d := range domainCount {
 			h := add(d, firstGateNumber+n, "gate")
-			h.Service = services[(len(r.hosts)-1)%len(services)].name
+			h.Service = services[(len(r.hosts)-1)%len(services)]
 		}
 	}
 	return os.MkdirAll(r.config.Folder, 0o700)
@@ -278,18 +288,22 @@
 	}
 	return &Result{
 		Seed: r.config.Seed, Sent: c.sent, Answered: c.answered, ExcusedResets: c.excusedResets, Faults: faultCount,
+		LostResets: c.lostResets, Refusals: c.refusals, Uploads: c.uploads,
 		Violations: c.violations, Notes: c.notes,
 	}
 }
 
-// checkReset checks a reset that a caller received on an open flow. It is a violation
-// if a backend server still holds the flow, unless an unplanned fault was in the last
-// disturbedPeriod.
-func (r *run) checkReset(f pollenpacket.Flow) {
+// checkReset checks a reset that a caller received on an open flow or, if opening is set,
+// as the answer to its opening packet. It is a violation if a backend server holds the flow,
+// unless an unplanned fault was in the last disturbedPeriod. An open flow that no server
+// holds has lost its server, and its gate may reset it.
+func (r *run) checkReset(f pollenpacket.Flow, route int, opening bool) {
+	held := false
 	for _, h := range r.hosts {
-		if h.server == nil || !h.server.holds(f) {
+		if h.server == nil || !h.server.holds(f, opening) {
 			continue
 		}
+		held = true
 		r.mu.Lock()
 		excused := time.Since(r.lastFault) < disturbedPeriod
 		r.mu.Unlock()
@@ -299,7 +313,15 @@
 			r.check.mu.Unlock()
 			continue
 		}
-		r.check.addViolation("broken", fmt.Sprintf("flow of caller %s was reset, but %s holds it", f.Caller, h.Name))
+		r.check.addViolation("broken", fmt.Sprintf("flow of caller %s to %s was reset (opening: %t), but %s holds it", f.Caller, routes[route].name, opening, h.Name))
+	}
+	r.check.mu.Lock()
+	defer r.check.mu.Unlock()
+	switch {
+	case opening:
+		r.check.refusals[routes[route].name]++
+	case !held:
+		r.check.lostResets++
 	}
 }
 
--- a/pollensoak/server.go
+++ b/pollensoak/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -61,6 +62,11 @@
 	// answers holds the answers by the position of the request; an answer is nil while
 	// the request runs.
 	answers map[uint32][]byte
+	// received holds the size of each packet of an upload by its position, contiguous is
+	// the end of the data without a gap, and id the first bytes of the upload.
+	received   map[uint32]uint32
+	contiguous uint32
+	id         []byte
 }
 
 // startServer starts a backend server of the service beside the host's gate, and its
@@ -117,6 +123,9 @@
 	case p.FIN:
 		delete(s.flows, p.Flow)
 		s.send(&pollenpacket.Packet{Flow: p.Flow, ACK: true, FIN: true, Sequence: f.nextSequence, Acknowledged: p.Sequence + 1}, nil)
+	case p.Size > 0 && p.Flow.Service == s.run.addresses[uploadRoute]:
+		f.opened = true
+		s.handleUpload(p, f, packet[len(packet)-p.Size:])
 	case p.Size == idSize:
 		f.opened = true
 		s.handleRequest(p, f, bytes.Clone(packet[len(packet)-idSize:]))
@@ -126,8 +135,8 @@
 // handleOpening handles an opening packet, and checks that it belongs to the server's
 // service and that the server has not drained. Retransmissions get the same answer.
 func (s *server) handleOpening(p *pollenpacket.Packet, f *serverFlow) {
-	if p.Flow.Service != s.run.addresses[s.service] {
-		s.run.check.addViolation("misrouted", fmt.Sprintf("%s of service %s received a flow to %s", s.host.Name, services[s.service].name, p.Flow.Service))
+	if route := slices.Index(s.run.addresses, p.Flow.Service); route < 0 || routes[route].service != services[s.service] {
+		s.run.check.addViolation("misrouted", fmt.Sprintf("%s of service %s received a flow to %s", s.host.Name, services[s.service], p.Flow.Service))
 	}
 	if drained := s.drain.Since(time.Now()); drained > drainDeadline && s.run.isUndisturbed(s.host) && f == nil {
 		s.run.check.addViolation("drained", fmt.Sprintf("%s received a flow %s after it had drained", s.host.Name, drained))
@@ -135,12 +144,29 @@
 	if f == nil {
 		// The initial position varies with the flow and the incarnation.
 		first := uint32(len(s.flows))<<16 + uint32(s.incarnation)<<8 + 1
-		f = &serverFlow{initialSequence: first, nextSequence: first + 1, answers: map[uint32][]byte{}}
+		f = &serverFlow{initialSequence: first, nextSequence: first + 1, answers: map[uint32][]byte{}, received: map[uint32]uint32{}, contiguous: 1}
 		s.flows[p.Flow] = f
 	}
 	s.send(&pollenpacket.Packet{Flow: p.Flow, SYN: true, ACK: true, Sequence: f.initialSequence, Acknowledged: p.Sequence + 1}, nil)
 }
 
+// handleUpload handles a packet of an upload. It runs the upload once all of its packets
+// have arrived, and acknowledges them before.
+func (s *server) handleUpload(p *pollenpacket.Packet, f *serverFlow, payload []byte) {
+	f.received[p.Sequence] = uint32(p.Size)
+	if p.Sequence == 1 {
+		f.id = bytes.Clone(payload[:idSize])
+	}
+	for size := f.received[f.contiguous]; size > 0; size = f.received[f.contiguous] {
+		f.contiguous += size
+	}
+	if f.contiguous == 1+uploadSize {
+		s.handleRequest(&pollenpacket.Packet{Flow: p.Flow, Sequence: 1, Size: uploadSize}, f, f.id)
+		return
+	}
+	s.send(&pollenpacket.Packet{Flow: p.Flow, ACK: true, Sequence: f.nextSequence, Acknowledged: f.contiguous}, nil)
+}
+
 // handleRequest runs a request. A retransmission does not run again, and gets the same
 // answer.
 func (s *server) handleRequest(p *pollenpacket.Packet, f *serverFlow, id []byte) {
@@ -151,8 +177,8 @@
 		return
 	}
 	f.answers[p.Sequence] = nil
-	if services[s.service].kind == "unsafe" {
-		s.run.check.countRun(binary.BigEndian.Uint64(id))
+	if services[s.service] == "orders" {
+		s.run.check.countRun(binary.BigEndian.Uint64(id), p.Size == uploadSize)
 	}
 	packet := *p
 	time.AfterFunc(workTime, func() {
@@ -165,22 +191,22 @@
 
 // sendAnswer sends the answer to the request in p.
 func (s *server) sendAnswer(p *pollenpacket.Packet, f *serverFlow, answer []byte) {
-	// Requests and answers have the same size, and a flow's first request is at
+	// Requests and answers have the same size, except for the only one of an upload, and a flow's first request is at
 	// position 1, so the position of the answer follows from that of the request.
 	sequence := f.initialSequence + 1 + p.Sequence - 1
-	s.send(&pollenpacket.Packet{Flow: p.Flow, ACK: true, Sequence: sequence, Acknowledged: p.Sequence + idSize}, answer)
+	s.send(&pollenpacket.Packet{Flow: p.Flow, ACK: true, Sequence: sequence, Acknowledged: p.Sequence + uint32(p.Size)}, answer)
 	if next := sequence + idSize; int32(next-f.nextSequence) > 0 {
 		f.nextSequence = next
 	}
 }
 
 // holds reports whether the server holds the flow, and its caller has sent a request on
-// it.
-func (s *server) holds(f pollenpacket.Flow) bool {
+// it or opening is set.
+func (s *server) holds(f pollenpacket.Flow, opening bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	flow := s.flows[f]
-	return !s.stopped && flow != nil && flow.opened
+	return !s.stopped && flow != nil && (opening || flow.opened)
 }
 
 // sendReports reports the server's state to the gate, after each
@@ -196,7 +222,7 @@
 		}
 		s.sequence++
 		r := pollengate.Report{
-			Service: pollendocument.ServiceName(services[s.service].name), State: pollenpeer.ServerReady,
+			Service: pollendocument.ServiceName(services[s.service]), State: pollenpeer.ServerReady,
 			Slots: slots, Incarnation: s.incarnation, Sequence: s.sequence,
 		}
 		if s.draining {
--- a/pollensoak/system.go
+++ b/pollensoak/system.go
@@ -29,9 +29,34 @@
 	callerBlock = 200
 )
 
-// services holds the services of the stand-in platform. Requests to those of kind unsafe
-// may not be repeated.
-var services = []struct{ name, kind string }{{"feeds", "safe"}, {"orders", "unsafe"}}
+// linkMbps is the stated link rate of every second balancer without a disk. A burst exceeds
+// it: the admission of uploads closes and the queue drops packets.
+const linkMbps = 4
+
+// services holds the services of the stand-in platform.
+var services = []string{"feeds", "orders"}
+
+// A route is a route to one of the services. Only requests to routes of kind safe may be
+// repeated. The routes to orders differ in priority, so that their gates have admission
+// levels.
+type route struct {
+	name, kind, service string
+	priority            int
+	objective, timeout  time.Duration
+	// size is the size of a request in bytes, which begins with its ID.
+	size uint32
+	// flows is the number of flows that a caller uses at a time.
+	flows int
+}
+
+var routes = []route{
+	{"feeds", "safe", "feeds", 1, 200 * time.Millisecond, requestTimeout, idSize, 4},
+	{"orders", "unsafe", "orders", 1, 200 * time.Millisecond, requestTimeout, idSize, 4},
+	{"uploads", "upload", "orders", 2, 800 * time.Millisecond, 2 * requestTimeout, uploadSize, 1},
+}
+
+// uploadRoute is the index of the upload route in routes.
+const uploadRoute = 2
 
 // A host runs one process of the system, a balancer or a gate.
 type host struct {
