pollensteer: refuse callers above their max-min share under contention

pollenshare keeps what each caller asked for and took in about two seconds. Only under contention, callers above their share are refused with the reason share, and light ones have some slack.

--- a/pollenegress/admission.go
+++ b/pollenegress/admission.go
@@ -97,8 +97,7 @@
 // records a refusal if not. Uploads can count on the minimum share of their class.
 func (a *Admission[K]) Fits(now time.Time, r Route, objective time.Duration) bool {
 	a.sweep(now)
-	free := max(a.rate*limits[ClassBulk.index()].share, a.rate-a.others)
-	if a.outstanding+float64(a.queued)+a.size(r) <= free*objective.Seconds()/objectiveShare {
+	if a.FitsWithin(r, objective, 1) {
 		return true
 	}
 	// A flow that is larger than the link carries in that time is admitted while no other
@@ -110,6 +109,16 @@
 	return false
 }
 
+// FitsWithin reports whether the bytes up to the end of a new flow are at most factor times
+// those that the link sends within half of the objective. It records no refusal.
+func (a *Admission[K]) FitsWithin(r Route, objective time.Duration, factor float64) bool {
+	free := max(a.rate*limits[ClassBulk.index()].share, a.rate-a.others)
+	return a.outstanding+float64(a.queued)+a.size(r) <= factor*free*objective.Seconds()/objectiveShare
+}
+
+// Size returns the expected size of a new flow of the route in bytes.
+func (a *Admission[K]) Size(r Route) float64 { return a.size(r) }
+
 // Admit records that a flow of the route was admitted.
 func (a *Admission[K]) Admit(now time.Time, flow K, r Route) {
 	if f, known := a.flows[flow]; known {
--- a/pollensteer/balancer.go
+++ b/pollensteer/balancer.go
@@ -18,6 +18,7 @@
 	"pollenstep.example/pollenstep/pollenlink"
 	"pollenstep.example/pollenstep/pollenpacket"
 	"pollenstep.example/pollenstep/pollenpeer"
+	"pollenstep.example/pollenstep/pollenshare"
 	"pollenstep.example/pollenstep/pollenview"
 )
 
@@ -146,7 +147,9 @@
 	rankBuffer rank
 	// admission decides on flows of upload routes; nil while the link is not shaped.
 	admission *pollenegress.Admission[key]
-	priority  priorityState
+	// uploads divides the link of admission between callers by expected bytes.
+	uploads  *pollenshare.Table[netip.Addr]
+	priority priorityState
 	groupSet
 }
 
@@ -191,7 +194,7 @@
 		panic(err)
 	}
 	return &Balancer{
-		config: config, policy: policy, freshAge: pollenpeer.FreshAge, gatesComplete: true, budget: newBudget(config.LinkRate), random: rand.New(rand.NewPCG(config.Seed, 1)),
+		config: config, policy: policy, priority: priorityState{callers: pollenshare.New[netip.Addr]()}, freshAge: pollenpeer.FreshAge, gatesComplete: true, budget: newBudget(config.LinkRate), random: rand.New(rand.NewPCG(config.Seed, 1)),
 		routes: map[netip.AddrPort]*route{}, gates: map[netip.AddrPort]*gate{},
 		services: map[pollendocument.ServiceName][]*gate{}, flowCache: map[key]flowEntry{},
 		groupSet: groupSet{groups: map[pollendocument.ServiceName]*group{}},
--- a/pollensteer/open.go
+++ b/pollensteer/open.go
@@ -60,7 +60,7 @@
 		if d, full := b.linkFull(now, r, p, &e); full {
 			return d
 		}
-		return b.recordPlaced(now, k, r, b.place(now, k, r, p, e, 0, nil))
+		return b.recordTaken(now, r, p, b.recordPlaced(now, k, r, b.place(now, k, r, p, e, 0, nil)))
 	}
 	d := b.place(now, k, r, p, e, 1, e.gate)
 	d.Retry = pollenkernel.RetryOpening
@@ -75,8 +75,8 @@
 	if g == nil && now.Sub(b.config.StartTime) < startupGrace {
 		return bufferOrDrop(p, pollenkernel.RefusalNotReady)
 	}
-	if refused {
-		return b.rejectOpening(now, p, &e, pollenkernel.RefusalPriority)
+	if refused != pollenkernel.RefusalNone {
+		return b.rejectOpening(now, p, &e, refused)
 	}
 	if g == nil {
 		return b.rejectOpening(now, p, &e, pollenkernel.RefusalNoMember)
--- a/pollensteer/priority.go
+++ b/pollensteer/priority.go
@@ -1,12 +1,14 @@
 package pollensteer
 
 import (
+	"net/netip"
 	"time"
 
 	"pollenstep.example/pollenstep/pollenkernel"
 	"pollenstep.example/pollenstep/pollenlink"
 	"pollenstep.example/pollenstep/pollenpacket"
 	"pollenstep.example/pollenstep/pollenpriority"
+	"pollenstep.example/pollenstep/pollenshare"
 )
 
 // A priorityState is the state of a balancer about gates that do not admit every priority.
@@ -18,6 +20,8 @@
 	admitting *route
 	// minimum selects the flows that are passed to a gate that does not admit them.
 	minimum pollenpriority.Minimum
+	// callers divides those flows between callers.
+	callers *pollenshare.Table[netip.Addr]
 }
 
 // admits reports whether the gate admits new flows of the priority.
@@ -47,27 +51,35 @@
 
 // chooseByPriority returns a gate for a new flow with the entry e, as choose does, and
 // prefers the gates that admit the priority of the route. If there is none, refused
-// is set for the first transmission of nine in ten flows, and the others are passed to a
-// gate that does not admit the priority: one in ten as the minimum share of its priority, and
-// retransmissions because an earlier transmission may have opened the flow.
+// is the reason to refuse the first transmission of nine in ten flows, and the others are
+// passed to a gate that does not admit the priority: one in ten as the minimum share of its
+// priority, and retransmissions because an earlier transmission may have opened the flow. A
+// caller above its share gets one of the one in ten only if the others leave them unused.
 func (b *Balancer) chooseByPriority(
 	now time.Time, k key, r *route, p *pollenpacket.Packet, e *flowEntry, tries int, excluded *gate,
-) (g *gate, refused bool) {
+) (g *gate, refused pollenkernel.Refusal) {
 	if b.priority.closedGates == 0 || e.minimum {
-		return b.choose(now, k, r, tries, excluded), false
+		return b.choose(now, k, r, tries, excluded), pollenkernel.RefusalNone
 	}
 	b.priority.admitting = r
 	g = b.choose(now, k, r, tries, excluded)
 	b.priority.admitting = nil
 	if g != nil {
-		return g, false
+		return g, pollenkernel.RefusalNone
 	}
 	g = b.choose(now, k, r, tries, excluded)
 	if g == nil || p.Acknowledged > 0 {
-		return g, false
+		return g, pollenkernel.RefusalNone
 	}
-	if e.minimum = b.priority.minimum.Take(r.Priority); e.minimum {
-		return g, false
+	caller := p.Flow.Caller.Addr()
+	b.priority.callers.Ask(now, caller, 1)
+	take, reason := b.priority.minimum.Take, pollenkernel.RefusalPriority
+	if b.priority.callers.Exceeds(now, caller) {
+		take, reason = b.priority.minimum.TakeAbove, pollenkernel.RefusalShare
 	}
-	return nil, true
+	if e.minimum = take(r.Priority); e.minimum {
+		b.priority.callers.Add(now, caller, 1)
+		return g, pollenkernel.RefusalNone
+	}
+	return nil, reason
 }
--- a/pollensteer/shape.go
+++ b/pollensteer/shape.go
@@ -12,12 +12,22 @@
 	"pollenstep.example/pollenstep/pollenkernel"
 	"pollenstep.example/pollenstep/pollenlink"
 	"pollenstep.example/pollenstep/pollenpacket"
+	"pollenstep.example/pollenstep/pollenshare"
 )
 
 // packetOverhead is the size on the link of a packet without payload in bytes: headers of
 // IP, UDP and pollenlink, and 40 for the one of the flow.
 const packetOverhead = pollenegress.Overhead + pollenlink.HeaderSize + 40
 
+// Shares of the bytes that fit on a contended link which flows may fill: those of callers
+// below their share, and those of callers that ask for more. Bytes up to lightRoom leave
+// the link within 5/8 of the objective. Without heavyRoom, light callers that are refused make
+// the share fall for seconds: the link carried 995 uploads in a replay where it carries 1,107.
+const (
+	lightRoom = 1.25
+	heavyRoom = 0.75
+)
+
 // A shaping holds how the packets of one route are sent over a low-bandwidth link. It is
 // zero while the link is not shaped.
 type shaping struct {
@@ -31,11 +41,12 @@
 // whenever the link begins to be shaped.
 func (b *Balancer) setShaping(d *pollendocument.Declaration) {
 	if !pollenegress.Shapes(b.config.LinkRate, d) {
-		b.admission = nil
+		b.admission, b.uploads = nil, nil
 		return
 	}
 	if b.admission == nil {
 		b.admission = pollenegress.NewAdmission[key](b.config.LinkRate)
+		b.uploads = pollenshare.New[netip.Addr]()
 	}
 	lowest, highest := math.MaxInt, math.MinInt
 	for i := range d.Routes {
@@ -100,7 +111,10 @@
 }
 
 // linkFull returns the decision to reset a new flow of an upload route that the link cannot
-// carry in time. ok is false if it can, or if the opening packet must not be reset.
+// carry in time. While the link is contended, a caller above its share is reset also if
+// the flow would fit, one that asks for more than its share leaves some room, and one that
+// does not may exceed what fits by a bounded slack. ok is false
+// if the flow is taken, or if the opening packet must not be reset.
 func (b *Balancer) linkFull(now time.Time, r *route, p *pollenpacket.Packet, e *flowEntry) (d Decision, ok bool) {
 	// An opening packet that waited in the buffer of a starting balancer may be older than
 	// it seems.
@@ -111,7 +125,32 @@
 	if d = b.rejectOpening(now, p, e, pollenkernel.RefusalLinkFull); d.Verdict != VerdictReset {
 		return Decision{}, false
 	}
-	return d, !b.admission.Fits(now, r.id, r.Objective)
+	caller, size := p.Flow.Caller.Addr(), b.admission.Size(r.id)
+	b.uploads.Ask(now, caller, size)
+	fits := b.admission.Fits(now, r.id, r.Objective)
+	if fits && !b.admission.Pressure(now).Closed {
+		return d, false
+	}
+	if b.uploads.Exceeds(now, caller) {
+		d.Reason = pollenkernel.RefusalShare
+		return d, true
+	}
+	switch {
+	case b.uploads.Below(now, caller):
+		return d, !b.admission.FitsWithin(r.id, r.Objective, lightRoom)
+	case fits && b.uploads.Contended(now) && !b.admission.FitsWithin(r.id, r.Objective, heavyRoom):
+		d.Reason = pollenkernel.RefusalShare
+		return d, true
+	}
+	return d, !fits
+}
+
+// recordTaken accounts for a new flow that was passed as taken by its caller.
+func (b *Balancer) recordTaken(now time.Time, r *route, p *pollenpacket.Packet, d Decision) Decision {
+	if b.admission != nil && r.upload && d.Verdict == VerdictPass {
+		b.uploads.Add(now, p.Flow.Caller.Addr(), b.admission.Size(r.id))
+	}
+	return d
 }
 
 // recordPlaced accounts for the decision on a new flow of the route: it is admitted if it
