One choice of two gates for placement with and without domains

Cause: the loop of two choices stood in twoChoices and again in twoOf, and two tests of pollennode built the same view. Change: twoChoices calls twoOf; the tests share sendRingsView.

--- a/pollennode/batch_test.go
+++ b/pollennode/batch_test.go
@@ -8,14 +8,12 @@
 
 	"github.com/sirupsen/logrus"
 
-	"pollenstep.example/pollenstep/pollendocument"
 	"pollenstep.example/pollenstep/pollenlink"
 	"pollenstep.example/pollenstep/pollenmetric"
 	"pollenstep.example/pollenstep/pollennode"
 	"pollenstep.example/pollenstep/pollenpacket"
 	"pollenstep.example/pollenstep/pollenpeer"
 	"pollenstep.example/pollenstep/pollenrecord"
-	"pollenstep.example/pollenstep/pollenview"
 	"pollenstep.example/pollenstep/pollenwire"
 )
 
@@ -82,14 +80,7 @@
 	b := newBalancer(t, start, pollennode.Settings{Node: netip.MustParseAddrPort("10.0.0.200:7000"), LinkRate: rate}, link)
 	link.b = b
 	service := netip.MustParseAddrPort("198.51.100.1:443")
-	view := pollenview.NewView()
-	view.Revision, view.Declared.Version = 1, 1
-	view.Declared.Routes = []pollendocument.Route{{
-		Name: "rings", Address: service, Kind: pollendocument.RouteSafe, Timeout: time.Second,
-		Shares: []pollendocument.Share{{Service: "rings", Weight: 1}},
-	}}
-	update := pollenview.Update{Full: view}
-	b.HandleMessage(start, probedGate(1), pollenlink.KindUpdate, pollenwire.Marshal(&update, pollenwire.MapUpdate))
+	sendRingsView(b, start, service)
 	metrics, err := pollenmetric.NewSet("test", "gate", nil)
 	if err != nil {
 		t.Fatal(err)
--- a/pollennode/probe_test.go
+++ b/pollennode/probe_test.go
@@ -71,14 +71,7 @@
 	b := newBalancer(t, start, pollennode.Settings{Node: netip.MustParseAddrPort("10.0.0.200:7000")}, transport)
 	transport.b = b
 	service := netip.MustParseAddrPort("198.51.100.1:443")
-	view := pollenview.NewView()
-	view.Revision, view.Declared.Version = 1, 1
-	view.Declared.Routes = []pollendocument.Route{{
-		Name: "rings", Address: service, Kind: pollendocument.RouteSafe, Timeout: time.Second,
-		Shares: []pollendocument.Share{{Service: "rings", Weight: 1}},
-	}}
-	update := pollenview.Update{Full: view}
-	b.HandleMessage(start, probedGate(1), pollenlink.KindUpdate, pollenwire.Marshal(&update, pollenwire.MapUpdate))
+	sendRingsView(b, start, service)
 	for i := range n {
 		heartbeat := pollenpeer.Heartbeat{Peer: pollenpeer.Peer{
 			Address: probedGate(i + 1), Role: pollenpeer.RoleGate, Domain: "a", Incarnation: 1, Sequence: 1,
@@ -103,6 +96,18 @@
 	return transport
 }
 
+// sendRingsView sends the balancer a view with one route, to the service rings.
+func sendRingsView(b *pollennode.Balancer, now time.Time, service netip.AddrPort) {
+	view := pollenview.NewView()
+	view.Revision, view.Declared.Version = 1, 1
+	view.Declared.Routes = []pollendocument.Route{{
+		Name: "rings", Address: service, Kind: pollendocument.RouteSafe, Timeout: time.Second,
+		Shares: []pollendocument.Share{{Service: "rings", Weight: 1}},
+	}}
+	update := pollenview.Update{Full: view}
+	b.HandleMessage(now, probedGate(1), pollenlink.KindUpdate, pollenwire.Marshal(&update, pollenwire.MapUpdate))
+}
+
 func probedGate(n int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 7000)
 }
--- a/pollensteer/policy.go
+++ b/pollensteer/policy.go
@@ -76,25 +76,8 @@
 		}
 		return b.least(c, lessLoaded)
 	}
-	var first *gate
-	// Each earlier try considered two gates. The one that was tried last is
-	// excluded by the loop and not counted here.
-	skip := max(0, 2*c.tries-1)
-	for _, g := range b.rank(c.key, c.gates) {
-		if g == c.excluded || !b.usable(c.now, g) {
-			continue
-		}
-		switch {
-		case skip > 0:
-			skip--
-		case first == nil:
-			first = g
-		default:
-			return lessLoaded(first, g)
-		}
-	}
-	if first != nil {
-		return first
+	if g := b.twoOf(c, c.gates, skipped(c.tries)); g != nil {
+		return g
 	}
 	return b.least(c, lessLoaded)
 }
